--- /dev/null
+++ b/include/lav/ctx.h
@@ -0,0 +1,44 @@
+/*
+ * ctx: the context of a request, which a target copies from the call that
+ * it serves onto the calls that it makes, as the header Lav-Context:
+ *
+ *   v1;root=ID;class=critical;depth=2;left-us=81000;budget=1;token=9f;first=1
+ *
+ * The node trusts only the token, by which it finds the values that it sent
+ * itself; the others serve a target that wants to shed by itself.
+ */
+#ifndef LAV_CTX_H
+#define LAV_CTX_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lav/id.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CTX_TEXT_SIZE 256 /* bytes of the header's value, with the NUL */
+
+typedef struct ctx {
+    id root;
+    int klass;       /* enum svc_class of the root request */
+    int depth;       /* 1 for the root's own call */
+    int64_t left_us; /* time left until the root's deadline */
+    int budget;      /* extra attempts that may still be spent */
+    uint64_t token;  /* handle of the call at the node that delivered it */
+    bool first;      /* no earlier attempt of this request was made */
+} ctx;
+
+void
+ctx_format(char out[CTX_TEXT_SIZE], const ctx *c);
+int
+ctx_parse(ctx *out, const char *text);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/include/lav/ring.h
@@ -0,0 +1,35 @@
+/*
+ * ring: a bounded queue of fixed-size items between threads.  Any thread
+ * may push; a push onto a full ring is refused, never waited for.
+ */
+#ifndef LAV_RING_H
+#define LAV_RING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct ring ring;
+
+int
+ring_new(ring **out, size_t item_size, size_t capacity);
+void
+ring_free(ring *r);
+int
+ring_push(ring *r, const void *item);
+bool
+ring_pop(void *item, ring *r, int64_t wait_us);
+void
+ring_close(ring *r);
+size_t
+ring_count(ring *r);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/lab/exl.c
@@ -0,0 +1,240 @@
+#include "exl.h"
+
+#include "lav/nst.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <stdio.h>
+#include <string.h>
+
+/* What is known of one id. */
+typedef struct exl_history {
+    int runs;
+    int64_t first_run_ms;
+    bool unrepeatable;
+    int answers;        /* to whoever asked for it */
+    int64_t refused_ms; /* of the last "not run", or 0 */
+    bool last_was_refusal;
+} exl_history;
+
+typedef void (*exl_line_cb)(int64_t ms, const char *what, const char *request,
+                            const char *operation, void *payload);
+
+static void
+exl_read_log(const char *path, exl_line_cb callback, void *payload)
+{
+    char line[512];
+    FILE *file = fopen(path, "rb");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        int64_t ms = 0;
+        char what[32];
+        char request[ID_SIZE];
+        char operation[128];
+        if (sscanf(line, "%" SCNd64 " %31s %63s %127s", &ms, what, request,
+                   operation) == 4) {
+            callback(ms, what, request, operation, payload);
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+}
+
+static void
+exl_read_all(const fld *f, exl_line_cb callback, void *payload)
+{
+    for (size_t i = 0; i < f->count; i++) {
+        char path[FLD_PATH_SIZE * 2];
+        fld_log_path(path, sizeof(path), f, &f->instances[i]);
+        exl_read_log(path, callback, payload);
+    }
+}
+
+static exl_history *
+exl_find(GHashTable *ids, const char *request)
+{
+    exl_history *history = g_hash_table_lookup(ids, request);
+    if (history == NULL) {
+        history = g_new0(exl_history, 1);
+        g_hash_table_insert(ids, g_strdup(request), history);
+    }
+    return history;
+}
+
+typedef struct exl_checking {
+    GHashTable *ids;          /* request -> exl_history */
+    GHashTable *unrepeatable; /* set of names of operations */
+    exl_verdict *verdict;
+} exl_checking;
+
+static void
+exl_note_answer(exl_history *history, int64_t ms, bool refusal)
+{
+    history->answers++;
+    history->last_was_refusal = refusal;
+    if (refusal) {
+        history->refused_ms = ms;
+    }
+}
+
+static void
+exl_take_line(int64_t ms, const char *what, const char *request,
+              const char *operation, void *payload)
+{
+    exl_checking *checking = payload;
+    exl_history *history = exl_find(checking->ids, request);
+    if (strcmp(what, "run") == 0) {
+        checking->verdict->executions++;
+        history->unrepeatable =
+            g_hash_table_contains(checking->unrepeatable, operation);
+        if (history->runs++ == 0 || ms < history->first_run_ms) {
+            history->first_run_ms = ms;
+        }
+    }
+    else if (strcmp(what, "not-run") == 0) {
+        exl_note_answer(history, ms, true);
+    }
+    else if (strcmp(what, "unknown") == 0) {
+        exl_note_answer(history, ms, false);
+    }
+}
+
+/* A refusal is false where the request had run by then, or ran later
+ * although nobody asked for it again. */
+static bool
+exl_refused_falsely(const exl_history *history)
+{
+    if (history->refused_ms == 0 || history->runs == 0) {
+        return false;
+    }
+    return history->first_run_ms < history->refused_ms ||
+           history->last_was_refusal;
+}
+
+static void
+exl_judge(gpointer key, gpointer value, gpointer payload)
+{
+    const exl_history *history = value;
+    exl_verdict *verdict = payload;
+    bool broken = false;
+    if (history->unrepeatable) {
+        verdict->unrepeatable_ids++;
+        if (history->runs > 1) {
+            verdict->run_twice++;
+            broken = true;
+        }
+    }
+    if (exl_refused_falsely(history)) {
+        verdict->false_refusals++;
+        broken = true;
+    }
+    if (broken) {
+        snprintf(verdict->example, sizeof(verdict->example), "%s",
+                 (const char *)key);
+    }
+}
+
+static void
+exl_take_answers(exl_checking *checking, const lod *l)
+{
+    for (size_t i = 0; i < l->count; i++) {
+        const lod_request *request = &l->requests[i];
+        for (int k = 0; k < request->attempts; k++) {
+            const lod_answer *answer = &request->answers[k];
+            exl_history *history =
+                exl_find(checking->ids, request->request.text);
+            exl_note_answer(history, answer->ms,
+                            answer->outcome == LOD_NOT_RUN);
+            if (strcmp(answer->reason, "WRONG ANSWER") == 0) {
+                checking->verdict->wrong_answers++;
+            }
+        }
+    }
+}
+
+static int
+exl_list_unrepeatable(GHashTable *out, const fld *f, err *e)
+{
+    for (size_t i = 0; i < f->deployment.service_count; i++) {
+        char path[FLD_PATH_SIZE * 2];
+        char *text = NULL;
+        svc_file *file = NULL;
+        snprintf(path, sizeof(path), "%s/services/%s.toml",
+                 f->deployment.folder, f->deployment.services[i].name);
+        int result = nst_read_file(&text, path, SVC_FILE_SIZE_MAX, e);
+        if (result == 0) {
+            result = svc_parse(&file, text, path, e);
+        }
+        free(text);
+        if (result < 0) {
+            return result;
+        }
+        for (size_t k = 0; k < file->operation_count; k++) {
+            if (!file->operations[k].idempotent) {
+                g_hash_table_add(out, g_strdup(file->operations[k].name));
+            }
+        }
+        svc_free(file);
+    }
+    return 0;
+}
+
+/* Hold the logs against the answers of a finished load (may be NULL). */
+int
+exl_check(exl_verdict *out, const fld *f, const lod *l, err *e)
+{
+    *out = (exl_verdict){0};
+    exl_checking checking = {
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL), out};
+    int result = exl_list_unrepeatable(checking.unrepeatable, f, e);
+    if (result == 0) {
+        exl_read_all(f, exl_take_line, &checking);
+        if (l != NULL) {
+            exl_take_answers(&checking, l);
+        }
+        g_hash_table_foreach(checking.ids, exl_judge, out);
+    }
+    g_hash_table_destroy(checking.ids);
+    g_hash_table_destroy(checking.unrepeatable);
+    return result;
+}
+
+typedef struct exl_counting {
+    const char *operation; /* or NULL */
+    const char *request;   /* or NULL */
+    int runs;
+} exl_counting;
+
+static void
+exl_count_line(int64_t ms, const char *what, const char *request,
+               const char *operation, void *payload)
+{
+    (void)ms;
+    exl_counting *counting = payload;
+    bool wanted = strcmp(what, "run") == 0;
+    wanted = wanted && (counting->operation == NULL ||
+                        strcmp(counting->operation, operation) == 0);
+    wanted = wanted && (counting->request == NULL ||
+                        strcmp(counting->request, request) == 0);
+    counting->runs += wanted ? 1 : 0;
+}
+
+/* Executions of an operation, over all targets. */
+int
+exl_count_runs(const fld *f, const char *operation)
+{
+    exl_counting counting = {operation, NULL, 0};
+    exl_read_all(f, exl_count_line, &counting);
+    return counting.runs;
+}
+
+/* Executions of a request id, over all targets. */
+int
+exl_count_id(const fld *f, const char *request)
+{
+    exl_counting counting = {NULL, request, 0};
+    exl_read_all(f, exl_count_line, &counting);
+    return counting.runs;
+}
--- /dev/null
+++ b/lab/prc.c
@@ -0,0 +1,118 @@
+#include "prc.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "lav/clk.h"
+
+#define PRC_WAIT_STEP_US 5000
+#define PRC_PORT_FIRST 21000
+#define PRC_PORT_LAST 31000
+#define PRC_EXEC_FAILED 127
+
+/* Start a program; what it prints is appended to `log_path`.  It gets a
+ * SIGKILL when this process ends, however that comes about. */
+int
+prc_start(pid_t *out, char *const argv[], const char *log_path, err *e)
+{
+    pid_t parent = getpid();
+    pid_t pid = fork();
+    if (pid < 0) {
+        return err_set(e, ERR_FULL, "can't start %s", argv[0]);
+    }
+    if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        int log = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0644);
+        if (log < 0 || getppid() != parent) {
+            _exit(PRC_EXEC_FAILED);
+        }
+        dup2(log, STDOUT_FILENO);
+        dup2(log, STDERR_FILENO);
+        execv(argv[0], argv);
+        _exit(PRC_EXEC_FAILED);
+    }
+    *out = pid;
+    return 0;
+}
+
+/* Send a signal to a process that was started here. */
+void
+prc_signal(pid_t pid, int signal_number)
+{
+    if (pid > 0) {
+        kill(pid, signal_number);
+    }
+}
+
+/* Wait for a process to end; its exit status, 128 + the signal that ended
+ * it, or -1 after `timeout_ms`.  An ended process becomes PRC_NONE. */
+int
+prc_wait(pid_t *pid, int timeout_ms)
+{
+    int64_t end_us = clk_now_us() + (int64_t)timeout_ms * CLK_US_PER_MS;
+    while (*pid > 0) {
+        int status = 0;
+        if (waitpid(*pid, &status, WNOHANG) == *pid) {
+            *pid = PRC_NONE;
+            return WIFEXITED(status) ? WEXITSTATUS(status)
+                                     : 128 + WTERMSIG(status);
+        }
+        if (clk_now_us() >= end_us) {
+            return -1;
+        }
+        clk_sleep_us(PRC_WAIT_STEP_US);
+    }
+    return 0;
+}
+
+/* End a process at once. */
+void
+prc_kill(pid_t *pid)
+{
+    if (*pid > 0) {
+        kill(*pid, SIGKILL);
+        waitpid(*pid, NULL, 0);
+        *pid = PRC_NONE;
+    }
+}
+
+static bool
+prc_port_is_free(int port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int probe = socket(AF_INET, SOCK_STREAM, 0);
+    bool free_now =
+        bind(probe, (struct sockaddr *)&address, sizeof(address)) == 0;
+    close(probe);
+    return free_now;
+}
+
+/* A loopback port that nobody listens at, below those that the system
+ * gives to outgoing connections. */
+int
+prc_free_port(void)
+{
+    static int next;
+    if (next == 0) {
+        next =
+            PRC_PORT_FIRST + getpid() * 61 % (PRC_PORT_LAST - PRC_PORT_FIRST);
+    }
+    for (;;) {
+        int port = next++;
+        if (next >= PRC_PORT_LAST) {
+            next = PRC_PORT_FIRST;
+        }
+        if (prc_port_is_free(port)) {
+            return port;
+        }
+    }
+}
--- /dev/null
+++ b/src/base/err.c
@@ -0,0 +1,68 @@
+#include "lav/err.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+
+static void
+err_fill(err *e, int code, const char *where, int line, const char *format,
+         va_list args)
+{
+    if (e == NULL) {
+        return;
+    }
+    e->code = code;
+    e->line = line;
+    snprintf(e->where, sizeof(e->where), "%s", where);
+    vsnprintf(e->message, sizeof(e->message), format, args);
+}
+
+/* Fill `e` (may be NULL) with a printf-style message and return `code`. */
+int
+err_set(err *e, int code, const char *format, ...)
+{
+    va_list args;
+    va_start(args, format);
+    err_fill(e, code, "", 0, format, args);
+    va_end(args);
+    return code;
+}
+
+/* As err_set(), with the input file and the line (from 1) at fault. */
+int
+err_set_at(err *e, int code, const char *where, int line, const char *format,
+           ...)
+{
+    va_list args;
+    va_start(args, format);
+    err_fill(e, code, where, line, format, args);
+    va_end(args);
+    return code;
+}
+
+/* Name of an err_code for logs and JSON output. */
+const char *
+err_code_name(int code)
+{
+    switch (code) {
+    case ERR_OK:
+        return "ok";
+    case ERR_INVALID:
+        return "invalid";
+    case ERR_NOT_FOUND:
+        return "not_found";
+    case ERR_CONFLICT:
+        return "conflict";
+    case ERR_UNAVAILABLE:
+        return "unavailable";
+    case ERR_UNKNOWN:
+        return "unknown";
+    case ERR_FULL:
+        return "full";
+    case ERR_IO:
+        return "io";
+    case ERR_NO_MEMORY:
+        return "no_memory";
+    default:
+        return "unlisted";
+    }
+}
--- /dev/null
+++ b/src/config/svc.c
@@ -0,0 +1,205 @@
+#include "lav/svc.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SVC_WAIT_MIN_MS 10
+#define SVC_WAIT_MAX_MS 60000
+#define SVC_QUEUE_MAX_MS 10000
+#define SVC_QUEUE_LENGTH_MAX 1024
+#define SVC_BUDGET_MAX 10
+#define SVC_HORIZON_MIN_MS 2000
+#define SVC_HORIZON_MAX_MS 600000
+
+static const char *const svc_class_names[] = {"critical", "normal", "browse",
+                                              NULL};
+static const char *const svc_retries_names[] = {"chain", "per_hop", "none",
+                                                NULL};
+static const char *const svc_queue_names[] = {"class", "fifo", "lifo", NULL};
+
+static const svc_policy svc_policy_default = {
+    .admission = true,
+    .early_refusal = true,
+    .root_class = true,
+    .rank = true,
+    .deadline_drop = true,
+    .adaptive_limit = true,
+    .ramp = true,
+    .queue = SVC_QUEUE_CLASS,
+    .retries = SVC_RETRIES_CHAIN,
+    .retry_budget = 2,
+    .queue_ms = 300,
+    .queue_length = 128,
+    .at_most_once_horizon_ms = 30000,
+};
+
+#define SVC_BOOL(member)                                                      \
+    {                                                                         \
+#member, TML_BOOL, offsetof(svc_policy, member), false, 0, 0, NULL    \
+    }
+
+static const tml_field svc_service_fields[] = {
+    {"name", TML_STRING, offsetof(svc_file, name), true, 0, SVC_NAME_SIZE,
+     NULL},
+};
+
+static const tml_field svc_policy_fields[] = {
+    SVC_BOOL(admission),
+    SVC_BOOL(early_refusal),
+    SVC_BOOL(root_class),
+    SVC_BOOL(rank),
+    SVC_BOOL(deadline_drop),
+    SVC_BOOL(adaptive_limit),
+    SVC_BOOL(ramp),
+    {"queue", TML_ENUM, offsetof(svc_policy, queue), false, 0, 0,
+     svc_queue_names},
+    {"retries", TML_ENUM, offsetof(svc_policy, retries), false, 0, 0,
+     svc_retries_names},
+    {"retry_budget", TML_INT, offsetof(svc_policy, retry_budget), false, 0,
+     SVC_BUDGET_MAX, NULL},
+    {"queue_wait", TML_DURATION, offsetof(svc_policy, queue_ms), false, 0,
+     SVC_QUEUE_MAX_MS, NULL},
+    {"queue_length", TML_INT, offsetof(svc_policy, queue_length), false, 0,
+     SVC_QUEUE_LENGTH_MAX, NULL},
+    {"at_most_once_horizon", TML_DURATION,
+     offsetof(svc_policy, at_most_once_horizon_ms), false, SVC_HORIZON_MIN_MS,
+     SVC_HORIZON_MAX_MS, NULL},
+};
+
+static const tml_field svc_operation_fields[] = {
+    {"class", TML_ENUM, offsetof(svc_operation, klass), true, 0, 0,
+     svc_class_names},
+    {"idempotent", TML_BOOL, offsetof(svc_operation, idempotent), true, 0, 0,
+     NULL},
+    {"caller_wait", TML_DURATION, offsetof(svc_operation, caller_wait_ms),
+     true, SVC_WAIT_MIN_MS, SVC_WAIT_MAX_MS, NULL},
+    {"calls", TML_STRINGS, offsetof(svc_operation, calls), false, 0, 0, NULL},
+};
+
+static const char *const svc_tables[] = {"service", "policy", "operations",
+                                         NULL};
+
+#define SVC_COUNT(fields) (sizeof(fields) / sizeof((fields)[0]))
+
+typedef struct svc_parser {
+    tml_doc *doc;
+    svc_file *file;
+} svc_parser;
+
+static bool
+svc_name_valid(const char *name)
+{
+    if (strlen(name) >= SVC_NAME_SIZE || name[0] == '\0') {
+        return false;
+    }
+    for (const char *c = name; *c != '\0'; c++) {
+        if (!islower((unsigned char)*c) && !isdigit((unsigned char)*c) &&
+            *c != '-') {
+            return false;
+        }
+    }
+    return true;
+}
+
+static int
+svc_parse_operation(const char *name, int line, err *e, void *payload)
+{
+    svc_parser *parser = payload;
+    svc_file *file = parser->file;
+    if (!svc_name_valid(name)) {
+        return err_set_at(e, ERR_INVALID, file->path, line,
+                          "%s: names are lower-case letters, digits and '-'",
+                          name);
+    }
+    if (file->operation_count == SVC_OPERATIONS_MAX) {
+        return err_set_at(e, ERR_INVALID, file->path, line,
+                          "more than %d operations", SVC_OPERATIONS_MAX);
+    }
+    svc_operation *operation = &file->operations[file->operation_count++];
+    char table[SVC_NAME_SIZE + 16];
+    snprintf(operation->name, sizeof(operation->name), "%s", name);
+    snprintf(table, sizeof(table), "operations.%s", name);
+    operation->line = line;
+    return tml_read(operation, parser->doc, table, svc_operation_fields,
+                    SVC_COUNT(svc_operation_fields), e);
+}
+
+/* Parse one service's file.  `path` is named in errors and kept. */
+int
+svc_parse(svc_file **out, const char *text, const char *path, err *e)
+{
+    tml_doc *doc = NULL;
+    svc_file *file = calloc(1, sizeof(*file));
+    if (file == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "service file");
+    }
+    snprintf(file->path, sizeof(file->path), "%s", path);
+    file->policy = svc_policy_default;
+    svc_parser parser = {NULL, file};
+    int result = tml_open(&doc, text, path, e);
+    if (result < 0) {
+        goto done;
+    }
+    parser.doc = doc;
+    result = tml_only(doc, svc_tables, e);
+    if (result < 0) {
+        goto done;
+    }
+    result = tml_read(file, doc, "service", svc_service_fields,
+                      SVC_COUNT(svc_service_fields), e);
+    if (result < 0) {
+        goto done;
+    }
+    if (!svc_name_valid(file->name)) {
+        result =
+            err_set_at(e, ERR_INVALID, path, tml_line(doc, "service", "name"),
+                       "name: lower-case letters, digits and '-' only");
+        goto done;
+    }
+    result = tml_read(&file->policy, doc, "policy", svc_policy_fields,
+                      SVC_COUNT(svc_policy_fields), e);
+    if (result < 0) {
+        goto done;
+    }
+    result = tml_each(doc, "operations", svc_parse_operation, e, &parser);
+    if (result == 0 && file->operation_count == 0) {
+        result = err_set_at(e, ERR_INVALID, path, 1, "no operations");
+    }
+done:
+    tml_free(doc);
+    if (result < 0) {
+        svc_free(file);
+        return result;
+    }
+    *out = file;
+    return 0;
+}
+
+/* Release a parsed file; takes NULL. */
+void
+svc_free(svc_file *file)
+{
+    free(file);
+}
+
+/* Find an operation by name, or NULL. */
+const svc_operation *
+svc_operation_find(const svc_file *file, const char *name)
+{
+    for (size_t i = 0; i < file->operation_count; i++) {
+        if (strcmp(file->operations[i].name, name) == 0) {
+            return &file->operations[i];
+        }
+    }
+    return NULL;
+}
+
+/* Text of a class as it stands in files. */
+const char *
+svc_class_name(int klass)
+{
+    return klass >= 0 && klass < SVC_CLASS_COUNT ? svc_class_names[klass]
+                                                 : "unlisted";
+}
--- /dev/null
+++ b/src/config/tml.cpp
@@ -0,0 +1,282 @@
+// The one C++ file: toml++ behind the C interface of lav/tml.h.
+#include "lav/tml.h"
+
+#include <cstring>
+#include <exception>
+#include <string>
+#include <toml++/toml.h>
+
+struct tml_doc {
+    toml::table root;
+    std::string path;
+};
+
+namespace
+{
+
+constexpr int64_t MS_PER_S = 1000;
+constexpr int64_t MS_PER_MINUTE = 60000;
+
+int
+fault(const tml_doc *doc, err *e, const toml::node *node, const char *key,
+      const char *reason)
+{
+    int line = node ? (int)node->source().begin.line : 0;
+    return err_set_at(e, ERR_INVALID, doc->path.c_str(), line, "%s: %s", key,
+                      reason);
+}
+
+// A dotted path of tables; the empty path is the root.
+toml::table *
+find_table(tml_doc *doc, const char *path)
+{
+    toml::table *table = &doc->root;
+    std::string rest(path);
+    while (!rest.empty() && table != nullptr) {
+        size_t dot = rest.find('.');
+        std::string head = rest.substr(0, dot);
+        rest = dot == std::string::npos ? "" : rest.substr(dot + 1);
+        table = (*table)[head].as_table();
+    }
+    return table;
+}
+
+bool
+parse_duration(int64_t *out, const std::string &text)
+{
+    size_t digits = text.find_first_not_of("0123456789");
+    if (digits == 0 || digits == std::string::npos || digits > 9) {
+        return false;
+    }
+    int64_t number = std::stoll(text.substr(0, digits));
+    std::string unit = text.substr(digits);
+    if (unit == "ms") {
+        *out = number;
+    }
+    else if (unit == "s") {
+        *out = number * MS_PER_S;
+    }
+    else if (unit == "m") {
+        *out = number * MS_PER_MINUTE;
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+int
+read_number(int64_t *out, const tml_doc *doc, const tml_field &f,
+            const toml::node *node, int64_t value, err *e)
+{
+    if (value < f.min || value > f.max) {
+        std::string reason = "out of range, " + std::to_string(f.min) +
+                             " to " + std::to_string(f.max);
+        reason += f.kind == TML_DURATION ? " ms" : "";
+        return fault(doc, e, node, f.key, reason.c_str());
+    }
+    *out = value;
+    return 0;
+}
+
+int
+read_strings(tml_strings *out, const tml_doc *doc, const tml_field &f,
+             const toml::node *node, err *e)
+{
+    const toml::array *array = node->as_array();
+    if (array == nullptr) {
+        return fault(doc, e, node, f.key, "must be a list of strings");
+    }
+    if (array->size() > TML_ITEMS_MAX) {
+        return fault(doc, e, node, f.key, "too many items");
+    }
+    out->count = 0;
+    for (const toml::node &item : *array) {
+        auto text = item.value_exact<std::string>();
+        if (!text || text->size() >= TML_ITEM_SIZE) {
+            return fault(doc, e, &item, f.key, "must be a short string");
+        }
+        std::strcpy(out->items[out->count++], text->c_str());
+    }
+    return 0;
+}
+
+int
+read_enum(int *out, const tml_doc *doc, const tml_field &f,
+          const toml::node *node, err *e)
+{
+    auto text = node->value_exact<std::string>();
+    std::string allowed;
+    for (int i = 0; f.names[i] != nullptr; i++) {
+        if (text && *text == f.names[i]) {
+            *out = i;
+            return 0;
+        }
+        allowed += std::string(i ? ", " : "") + f.names[i];
+    }
+    return fault(doc, e, node, f.key, ("must be one of " + allowed).c_str());
+}
+
+int
+read_field(char *out, const tml_doc *doc, const tml_field &f,
+           const toml::node *node, err *e)
+{
+    void *member = out + f.offset;
+    switch (f.kind) {
+    case TML_STRING: {
+        auto text = node->value_exact<std::string>();
+        if (!text || text->empty() || (int64_t)text->size() >= f.max) {
+            return fault(doc, e, node, f.key, "must be a short string");
+        }
+        std::strcpy((char *)member, text->c_str());
+        return 0;
+    }
+    case TML_BOOL: {
+        auto value = node->value_exact<bool>();
+        if (!value) {
+            return fault(doc, e, node, f.key, "must be true or false");
+        }
+        *(bool *)member = *value;
+        return 0;
+    }
+    case TML_INT: {
+        auto value = node->value_exact<int64_t>();
+        if (!value) {
+            return fault(doc, e, node, f.key, "must be a whole number");
+        }
+        return read_number((int64_t *)member, doc, f, node, *value, e);
+    }
+    case TML_DURATION: {
+        auto text = node->value_exact<std::string>();
+        int64_t value = 0;
+        if (!text || !parse_duration(&value, *text)) {
+            return fault(doc, e, node, f.key,
+                         "must be a duration such as \"250ms\" or \"3s\"");
+        }
+        return read_number((int64_t *)member, doc, f, node, value, e);
+    }
+    case TML_ENUM:
+        return read_enum((int *)member, doc, f, node, e);
+    case TML_STRINGS:
+        return read_strings((tml_strings *)member, doc, f, node, e);
+    }
+    return ERR_INVALID;
+}
+
+const tml_field *
+find_field(const tml_field *fields, size_t count, std::string_view key)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (key == fields[i].key) {
+            return &fields[i];
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+// Parse `text`; `path` is named in errors only.
+extern "C" int
+tml_open(tml_doc **out, const char *text, const char *path, err *e)
+{
+    try {
+        *out = new tml_doc{toml::parse(std::string_view(text)), path};
+        return 0;
+    } catch (const toml::parse_error &error) {
+        return err_set_at(e, ERR_INVALID, path,
+                          (int)error.source().begin.line, "%s",
+                          std::string(error.description()).c_str());
+    } catch (const std::exception &error) {
+        return err_set_at(e, ERR_NO_MEMORY, path, 0, "%s", error.what());
+    }
+}
+
+// Release a document; takes NULL.
+extern "C" void
+tml_free(tml_doc *doc)
+{
+    delete doc;
+}
+
+// Refuse any top-level key that is not in the NULL-closed list `tables`.
+extern "C" int
+tml_only(tml_doc *doc, const char *const *tables, err *e)
+{
+    for (auto &&[key, node] : doc->root) {
+        bool known = false;
+        for (size_t i = 0; tables[i] != nullptr; i++) {
+            known = known || key.str() == tables[i];
+        }
+        std::string name(key.str());
+        if (!known) {
+            return fault(doc, e, &node, name.c_str(), "unknown key");
+        }
+        if (!node.is_table()) {
+            return fault(doc, e, &node, name.c_str(), "must be a table");
+        }
+    }
+    return 0;
+}
+
+// Fill the struct `out` from one table.  A missing table has no keys.
+extern "C" int
+tml_read(void *out, tml_doc *doc, const char *table, const tml_field *fields,
+         size_t count, err *e)
+{
+    toml::table empty;
+    toml::table *found = find_table(doc, table);
+    toml::table &source = found ? *found : empty;
+    for (auto &&[key, node] : source) {
+        const tml_field *f = find_field(fields, count, key.str());
+        if (f == nullptr) {
+            std::string name(key.str());
+            return fault(doc, e, &node, name.c_str(), "unknown key");
+        }
+        int result = read_field((char *)out, doc, *f, &node, e);
+        if (result < 0) {
+            return result;
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        if (fields[i].required && !source.contains(fields[i].key)) {
+            return fault(doc, e, found, fields[i].key, "missing key");
+        }
+    }
+    return 0;
+}
+
+// Call back for each sub-table of `table`, in the order of their names.
+extern "C" int
+tml_each(tml_doc *doc, const char *table, tml_each_cb callback, err *e,
+         void *payload)
+{
+    toml::table *found = find_table(doc, table);
+    if (found == nullptr) {
+        return 0;
+    }
+    for (auto &&[key, node] : *found) {
+        std::string name(key.str());
+        if (!node.is_table()) {
+            return fault(doc, e, &node, name.c_str(), "must be a table");
+        }
+        int result =
+            callback(name.c_str(), (int)node.source().begin.line, e, payload);
+        if (result < 0) {
+            return result;
+        }
+    }
+    return 0;
+}
+
+// Line of a key in a table, or of the table itself, or 0.
+extern "C" int
+tml_line(tml_doc *doc, const char *table, const char *key)
+{
+    toml::table *found = find_table(doc, table);
+    if (found == nullptr) {
+        return 0;
+    }
+    toml::node *node = found->get(key);
+    return (int)(node ? node : found)->source().begin.line;
+}
--- /dev/null
+++ b/src/core/adm_level.c
@@ -0,0 +1,95 @@
+#include "adm_level.h"
+
+#define ADM_LEVEL_WINDOW_US 100000 /* 100 ms */
+#define ADM_LEVEL_WAIT_US 20000    /* a longer wait means overload */
+#define ADM_LEVEL_HEADROOM 1.02    /* arrivals taken per slot gained */
+#define ADM_LEVEL_DECAY 0.7        /* of arrivals, per window */
+#define ADM_LEVEL_STEP 12          /* priorities regained per window */
+#define ADM_LEVEL_DROP_MAX 96      /* priorities given up per window */
+
+/* Start with everything admitted. */
+void
+adm_level_init(adm_level_state *s)
+{
+    *s = (adm_level_state){.level = ADM_LEVEL_MAX};
+}
+
+/* A call arrived, whether or not it is taken. */
+void
+adm_level_arrive(adm_level_state *s, int priority)
+{
+    s->arrivals[priority] += 1;
+}
+
+/* A call got a slot after `waited_us` in the queue. */
+void
+adm_level_started(adm_level_state *s, int64_t waited_us)
+{
+    s->started++;
+    if (waited_us > ADM_LEVEL_WAIT_US) {
+        s->overloaded = true;
+    }
+}
+
+/* A call was refused for want of a slot. */
+void
+adm_level_overflow(adm_level_state *s)
+{
+    s->overloaded = true;
+}
+
+/* Level at which the arrivals fit `room`. */
+static int
+adm_level_fit(const adm_level_state *s, double room)
+{
+    double sum = 0;
+    for (int level = 0; level < ADM_LEVEL_MAX; level++) {
+        sum += s->arrivals[level];
+        if (sum > room) {
+            return level;
+        }
+    }
+    return ADM_LEVEL_MAX;
+}
+
+static void
+adm_level_lower(adm_level_state *s)
+{
+    /* Decayed arrivals sum up 1 / (1 - decay) windows. */
+    double room = s->started * ADM_LEVEL_HEADROOM / (1 - ADM_LEVEL_DECAY);
+    int fit = adm_level_fit(s, room);
+    int lowest = s->level - ADM_LEVEL_DROP_MAX;
+    if (fit < lowest) {
+        fit = lowest;
+    }
+    if (fit < s->level) {
+        s->level = fit;
+    }
+    if (s->level < 1) {
+        s->level = 1;
+    }
+}
+
+/* Close the window where it is over. */
+void
+adm_level_tick(adm_level_state *s, int64_t now_us)
+{
+    if (now_us - s->window_start_us < ADM_LEVEL_WINDOW_US) {
+        return;
+    }
+    if (s->overloaded) {
+        adm_level_lower(s);
+    }
+    else {
+        s->level += ADM_LEVEL_STEP;
+        if (s->level > ADM_LEVEL_MAX) {
+            s->level = ADM_LEVEL_MAX;
+        }
+    }
+    for (int i = 0; i < ADM_LEVEL_MAX; i++) {
+        s->arrivals[i] *= ADM_LEVEL_DECAY;
+    }
+    s->started = 0;
+    s->overloaded = false;
+    s->window_start_us = now_us;
+}
--- /dev/null
+++ b/src/node/ask.c
@@ -0,0 +1,62 @@
+#include "ask.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lav/ctr.h"
+
+#define ASK_URL_SIZE (NST_ADDRESS_SIZE + 16)
+
+static int
+ask_open(nng_socket *out, const char *url, int64_t wait_ms)
+{
+    if (nng_req0_open(out) != 0) {
+        return ERR_FULL;
+    }
+    nng_socket_set_ms(*out, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
+    nng_socket_set_ms(*out, NNG_OPT_SENDTIMEO, (nng_duration)wait_ms);
+    nng_socket_set_ms(*out, NNG_OPT_RECVTIMEO, (nng_duration)wait_ms);
+    nng_socket_set_size(*out, NNG_OPT_RECVMAXSZ, MSG_SIZE_MAX);
+    if (nng_dial(*out, url, NULL, NNG_FLAG_NONBLOCK) != 0) {
+        nng_close(*out);
+        return ERR_UNAVAILABLE;
+    }
+    return 0;
+}
+
+/* Send a message and wait up to `wait_ms` for the answer; msg_clear(out)
+ * after success. */
+int
+ask_exchange(msg *out, const char *address, uint16_t port, const msg *question,
+             int64_t wait_ms, err *e)
+{
+    char url[ASK_URL_SIZE];
+    char *bytes = NULL;
+    size_t length = 0;
+    nng_socket socket;
+    void *answer = NULL;
+    size_t answer_length = 0;
+    snprintf(url, sizeof(url), "tcp://%s:%u", address, port);
+    if (msg_encode(&bytes, &length, question) < 0) {
+        return err_set(e, ERR_NO_MEMORY, "question");
+    }
+    int result = ask_open(&socket, url, wait_ms);
+    if (result < 0) {
+        free(bytes);
+        return err_set(e, result, "no connection to %s", url);
+    }
+    if (nng_send(socket, bytes, length, 0) != 0 ||
+        nng_recv(socket, &answer, &answer_length, NNG_FLAG_ALLOC) != 0) {
+        result = err_set(e, ERR_UNAVAILABLE, "no answer of %s", url);
+    }
+    else {
+        ctr_add(CTR_GOSSIP_BYTES, length + answer_length);
+        result = msg_decode(out, answer, answer_length, e);
+        nng_free(answer, answer_length);
+    }
+    nng_close(socket);
+    free(bytes);
+    return result;
+}
--- /dev/null
+++ b/src/node/atr.h
@@ -0,0 +1,34 @@
+/*
+ * atr: the admitter.  One thread owns all calls that other nodes have sent
+ * for the local target, and decides for each: run, queue, refuse.  The
+ * promises on refusals, classes and at-most-once execution are kept here,
+ * by the modules adm, dsp and amo.
+ */
+#ifndef LAV_NODE_ATR_H
+#define LAV_NODE_ATR_H
+
+#include "inb_parse.h"
+#include "lav/amo.h"
+#include "node.h"
+
+typedef struct atr atr;
+struct dlv_result;
+
+int
+atr_new(atr **out, node *n, err *e);
+void
+atr_stop(atr *a);
+void
+atr_free(atr *a);
+void
+atr_arrive(int slot, msg *request, void *payload);
+int
+atr_cancel(atr *a, uint64_t nonce, int slot);
+void
+atr_delivered(const struct dlv_result *result, void *payload);
+void
+atr_announce(atr *a, const inb_announcement *announcement);
+void
+atr_set_map(atr *a, const amo_map *map);
+
+#endif
--- /dev/null
+++ b/src/node/atr_call.c
@@ -0,0 +1,467 @@
+/* Calls at the local target's node: arrival, dispatch, answer, cancel. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "atr_private.h"
+#include "lav/ans.h"
+#include "lav/clk.h"
+#include "lav/ctr.h"
+#include "lav/ctx.h"
+
+#define ATR_TIMEOUT_GRACE_S 2 /* after the deadline, for the target's answer */
+
+static int
+atr_level(const atr *a, const atr_call *call)
+{
+    int own = adm_level(a->admission);
+    if (call->operation < 0) {
+        return own;
+    }
+    int below = atomic_load(&a->node->load.callee_levels[call->operation]);
+    return below < own ? below : own;
+}
+
+static int
+atr_load_permille(const atr *a)
+{
+    int limit = adm_limit_of(a->admission);
+    int calls = adm_in_flight(a->admission) + adm_queued(a->admission);
+    return limit == 0 ? 0 : calls * 1000 / limit;
+}
+
+/* Send a reply and free the slot.  Takes the reply's body over. */
+static void
+atr_reply(atr *a, int slot, msg_reply *reply, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    msg m = {.kind = MSG_REPLY, .reply = *reply};
+    m.reply.nonce = call->request->call.nonce;
+    m.reply.level = atr_level(a, call);
+    m.reply.load_permille = atr_load_permille(a);
+    m.reply.served_us = now_us - call->arrived_us;
+    m.reply.config = a->policy_version;
+    m.reply.checksum = ans_checksum(m.reply.body.bytes, m.reply.body.length);
+    msg_clear(call->request);
+    free(call->request);
+    memset(call, 0, sizeof(*call));
+    srv_answer(a->node->receiver, slot, &m);
+    msg_clear(&m);
+}
+
+static void
+atr_note(atr *a, const atr_call *call, const char *what, enum reason reason)
+{
+    const msg_call *m = &call->request->call;
+    xpl_note(a->node->decisions, m->root, m->request, "%s, reason %s", what,
+             reason_name(reason));
+}
+
+/* Refuse a call that was never handed to the target. */
+static void
+atr_refuse(atr *a, int slot, enum reason reason, uint64_t owner,
+           int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    const msg_call *m = &call->request->call;
+    msg_reply reply = {.outcome = OUTCOME_NOT_RUN,
+                       .reason = reason,
+                       .budget = m->budget,
+                       .owner = owner};
+    dsp_refuse(a->attempts, m->nonce);
+    if (call->recorded) {
+        amo_withdraw(a->record, &call->request_id, !m->first);
+        reply.settled = !m->first;
+    }
+    ctr_reason(reason);
+    atr_note(a, call, "refused before dispatch", reason);
+    atr_reply(a, slot, &reply, now_us);
+}
+
+static void
+atr_unknown(atr *a, int slot, enum reason reason, int64_t now_us)
+{
+    msg_reply reply = {.outcome = OUTCOME_UNKNOWN, .reason = reason};
+    ctr_reason(reason);
+    atr_note(a, &a->calls[slot], "unknown", reason);
+    atr_reply(a, slot, &reply, now_us);
+}
+
+static void
+atr_replay(atr *a, int slot, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    const amo_answer *kept = amo_find_answer(a->record, &call->request_id);
+    msg_reply reply = {.outcome = OUTCOME_DONE,
+                       .reason = REASON_REPLAYED,
+                       .status = kept->status,
+                       .budget = call->request->call.budget};
+    memcpy(reply.content_type, kept->content_type, sizeof(reply.content_type));
+    if (msg_body_copy(&reply.body, kept->body, kept->length) < 0) {
+        atr_unknown(a, slot, REASON_ALREADY_RAN, now_us);
+        return;
+    }
+    ctr_reason(REASON_REPLAYED);
+    atr_note(a, call, "answered from the record", REASON_REPLAYED);
+    atr_reply(a, slot, &reply, now_us);
+}
+
+/* Ask the record about a call that is not idempotent; true where it may be
+ * queued, else it has been answered. */
+static bool
+atr_consult_record(atr *a, int slot, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    const id *request = &call->request_id;
+    uint64_t owner = 0;
+    enum reason reason = REASON_NONE;
+    switch (amo_admit(a->record, request, clk_wall_ms())) {
+    case AMO_RUN:
+        call->recorded = true;
+        return true;
+    case AMO_IN_PROGRESS:
+        atr_unknown(a, slot, REASON_IN_PROGRESS, now_us);
+        return false;
+    case AMO_ANSWERED:
+        atr_replay(a, slot, now_us);
+        return false;
+    case AMO_RAN:
+        atr_unknown(a, slot, REASON_ALREADY_RAN, now_us);
+        return false;
+    case AMO_REFUSED: {
+        msg_reply reply = {.outcome = OUTCOME_NOT_RUN,
+                           .reason = REASON_CANCELLED,
+                           .settled = true};
+        ctr_reason(REASON_CANCELLED);
+        atr_reply(a, slot, &reply, now_us);
+        return false;
+    }
+    case AMO_WRONG_OWNER:
+        reason = REASON_WRONG_OWNER;
+        owner = amo_owner(a->record, request);
+        owner = owner == a->node->incarnation ? 0 : owner;
+        break;
+    case AMO_NO_HORIZON:
+        reason = REASON_NO_HORIZON;
+        break;
+    case AMO_TOO_OLD:
+        reason = REASON_ID_TOO_OLD;
+        break;
+    case AMO_IN_FUTURE:
+        reason = REASON_ID_IN_FUTURE;
+        break;
+    case AMO_FULL:
+        reason = REASON_RECORD_FULL;
+        break;
+    }
+    atr_refuse(a, slot, reason, owner, now_us);
+    return false;
+}
+
+/* Find the operation; a reason where the call can't be for this target. */
+static enum reason
+atr_find_operation(atr *a, atr_call *call)
+{
+    const msg_call *m = &call->request->call;
+    enum reason reason = REASON_UNKNOWN_OPERATION;
+    view_read_begin();
+    const land *l = view_config_get(a->node->view)->landscape;
+    int own = l == NULL ? LAND_NONE : land_service_find(l, m->service);
+    if (l == NULL) {
+        reason = REASON_NO_CONFIG;
+    }
+    else if (own != LAND_NONE &&
+             strcmp(m->service, a->node->settings.service) == 0) {
+        const svc_operation *operation =
+            svc_operation_find(l->services[own], m->operation);
+        if (operation != NULL) {
+            call->operation = (int)(operation - l->services[own]->operations);
+            call->idempotent = operation->idempotent;
+            reason = REASON_NONE;
+        }
+    }
+    view_read_end();
+    return reason;
+}
+
+static enum reason
+atr_check_attempt(atr *a, const atr_call *call, int64_t now_us)
+{
+    const msg_call *m = &call->request->call;
+    int64_t age_ms = clk_wall_ms() - m->sent_ms;
+    switch (dsp_arrive(a->attempts, m->nonce, age_ms, now_us)) {
+    case DSP_NEW:
+        return REASON_NONE;
+    case DSP_DUPLICATE:
+        return REASON_IN_PROGRESS;
+    case DSP_CANCELLED:
+        return REASON_CANCELLED;
+    case DSP_TOO_OLD:
+        return REASON_ID_TOO_OLD;
+    case DSP_FULL:
+        return REASON_TABLE_FULL;
+    }
+    return REASON_BAD_REQUEST;
+}
+
+/* What forbids the call before admission looks at it. */
+static enum reason
+atr_check(atr *a, atr_call *call, int64_t now_us)
+{
+    const msg_call *m = &call->request->call;
+    id root;
+    if (call->request->kind != MSG_CALL ||
+        id_parse(&call->request_id, m->request) < 0 ||
+        id_parse(&root, m->root) < 0) {
+        return REASON_BAD_REQUEST;
+    }
+    if (ans_checksum(m->body.bytes, m->body.length) != m->checksum) {
+        return REASON_BAD_MESSAGE;
+    }
+    enum reason reason = atr_find_operation(a, call);
+    if (reason != REASON_NONE) {
+        return reason;
+    }
+    if (!atr_target_ready(a, now_us)) {
+        return REASON_TARGET_DOWN;
+    }
+    if (a->target.draining &&
+        (call->idempotent || !atr_target_lingers(a, now_us))) {
+        return REASON_DRAINING;
+    }
+    return atr_check_attempt(a, call, now_us);
+}
+
+/* Hand a call to the target.  From here on nobody may say "not run". */
+static void
+atr_dispatch(atr *a, int slot, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    const msg_call *m = &call->request->call;
+    dlv_job job = {.handle = slot,
+                   .call = m,
+                   .idempotent = call->idempotent,
+                   .may_resend = call->idempotent && m->budget > 0};
+    tok_context context = {.klass = m->klass,
+                           .depth = m->depth,
+                           .first = m->first,
+                           .deadline_us = call->deadline_us};
+    ctx sent = {.klass = m->klass,
+                .depth = m->depth,
+                .left_us = call->deadline_us - now_us,
+                .budget = m->budget,
+                .token = m->nonce,
+                .first = m->first};
+    (void)id_parse(&context.root, m->root);
+    sent.root = context.root;
+    snprintf(context.operation, sizeof(context.operation), "%s.%s", m->service,
+             m->operation);
+    ctx_format(job.context, &sent);
+    memcpy(job.url, a->target.said.url, sizeof(job.url));
+    job.timeout_s = (int)(sent.left_us / CLK_US_PER_S) + ATR_TIMEOUT_GRACE_S;
+    call->phase = ATR_AT_TARGET;
+    call->dispatched_us = now_us;
+    if (dsp_dispatch(a->attempts, m->nonce) < 0) {
+        abort(); /* a call that is not queued is never dispatched */
+    }
+    if (call->recorded) {
+        amo_dispatched(a->record, &call->request_id);
+    }
+    (void)tok_open(a->node->tokens, m->nonce, &context, m->budget);
+    ctr_add(CTR_DISPATCHED, 1);
+    if (dlv_submit(a->node->deliverer, &job) < 0) {
+        dlv_result result = {.handle = slot, .end = DLV_NOT_SENT};
+        atr_call_delivered(a, &result, now_us);
+    }
+}
+
+/* Fill free slots of the target from the queue. */
+void
+atr_call_dispatch_next(atr *a, int64_t now_us)
+{
+    int slot;
+    while (adm_next(&slot, a->admission, now_us)) {
+        atr_dispatch(a, slot, now_us);
+    }
+}
+
+static void
+atr_admit(atr *a, int slot, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    const msg_call *m = &call->request->call;
+    adm_call asked = {slot,     m->klass,          id_rank(m->root),
+                      m->depth, call->deadline_us, now_us};
+    adm_verdict verdict = adm_arrive(a->admission, &asked, now_us);
+    call->phase = ATR_QUEUED;
+    if (verdict.displaced != ADM_NONE) {
+        atr_refuse(a, verdict.displaced, REASON_QUEUE_DISPLACED, 0, now_us);
+    }
+    switch (verdict.decision) {
+    case ADM_DISPATCH:
+        atr_dispatch(a, slot, now_us);
+        return;
+    case ADM_QUEUED:
+        return;
+    case ADM_REFUSED:
+        atr_refuse(a, slot, verdict.reason, 0, now_us);
+        return;
+    }
+}
+
+/* A call has arrived in a slot of the receiver; takes the request over. */
+void
+atr_call_arrive(atr *a, int slot, msg *request, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    memset(call, 0, sizeof(*call));
+    call->request = request;
+    call->operation = -1;
+    call->arrived_us = now_us;
+    if (request->kind == MSG_CALL) {
+        call->deadline_us = now_us + request->call.left_us;
+    }
+    enum reason reason = atr_check(a, call, now_us);
+    if (reason == REASON_IN_PROGRESS) {
+        atr_unknown(a, slot, reason, now_us);
+        return;
+    }
+    if (reason != REASON_NONE) {
+        atr_refuse(a, slot, reason, 0, now_us);
+        return;
+    }
+    if (!call->idempotent && !atr_consult_record(a, slot, now_us)) {
+        return;
+    }
+    atr_admit(a, slot, now_us);
+}
+
+static void
+atr_done(atr *a, int slot, dlv_result *result, int budget, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    msg_reply reply = {.outcome = OUTCOME_DONE,
+                       .reason = REASON_NONE,
+                       .status = result->status,
+                       .budget = budget,
+                       .body = result->body};
+    memcpy(reply.content_type, result->content_type,
+           sizeof(reply.content_type));
+    if (call->recorded) {
+        amo_done(a->record, &call->request_id, result->status,
+                 result->content_type, result->body.bytes,
+                 result->body.length);
+    }
+    result->body = (msg_body){0, NULL};
+    atr_reply(a, slot, &reply, now_us);
+}
+
+static void
+atr_not_delivered(atr *a, int slot, int64_t now_us)
+{
+    atr_call *call = &a->calls[slot];
+    const msg_call *m = &call->request->call;
+    msg_reply reply = {.outcome = OUTCOME_NOT_RUN,
+                       .reason = REASON_TARGET_DOWN,
+                       .budget = m->budget};
+    if (call->recorded) {
+        amo_unsent(a->record, &call->request_id, !m->first);
+        reply.settled = !m->first;
+    }
+    ctr_reason(REASON_TARGET_DOWN);
+    atr_note(a, call, "the target can't be reached", REASON_TARGET_DOWN);
+    atr_target_failed(a);
+    atr_reply(a, slot, &reply, now_us);
+}
+
+/* A call is over at the target.  Takes the result's body over. */
+void
+atr_call_delivered(atr *a, dlv_result *result, int64_t now_us)
+{
+    int slot = result->handle;
+    atr_call *call = &a->calls[slot];
+    int64_t calls_us = 0;
+    int budget = tok_close(&calls_us, a->node->tokens,
+                           call->request->call.nonce, now_us);
+    int64_t own_us = now_us - call->dispatched_us - calls_us;
+    bool answered = result->end == DLV_DONE;
+    adm_finished(a->admission, answered && own_us > 0 ? own_us : -1, now_us);
+    if (result->resent) {
+        ctr_reason(REASON_RETRY_HIDDEN_RESEND);
+        budget = budget > 0 ? budget - 1 : 0;
+    }
+    switch (result->end) {
+    case DLV_DONE:
+        atr_done(a, slot, result, budget, now_us);
+        return;
+    case DLV_NOT_SENT:
+        atr_not_delivered(a, slot, now_us);
+        return;
+    case DLV_LOST:
+    case DLV_TOO_LARGE:
+        if (call->recorded) {
+            amo_lost(a->record, &call->request_id);
+        }
+        atr_unknown(a, slot,
+                    result->end == DLV_LOST ? REASON_REPLY_TRUNCATED
+                                            : REASON_REPLY_TOO_LARGE,
+                    now_us);
+        return;
+    }
+}
+
+static int
+atr_find_nonce(const atr *a, uint64_t nonce)
+{
+    for (int i = 0; i < NODE_RECEIVE_MAX; i++) {
+        const atr_call *call = &a->calls[i];
+        if (call->phase != ATR_FREE && call->request->call.nonce == nonce) {
+            return i;
+        }
+    }
+    return ADM_NONE;
+}
+
+static void
+atr_tell_target(atr *a, atr_call *call)
+{
+    if (!call->cancel_told) {
+        call->cancel_told = true;
+        dlv_cancel(a->node->deliverer, a->target.said.url,
+                   call->request->call.request);
+    }
+}
+
+/* Cancel an attempt: out of the queue, or at the target. */
+enum dsp_cancel
+atr_call_cancel(atr *a, uint64_t nonce, int64_t now_us)
+{
+    int slot = atr_find_nonce(a, nonce);
+    if (slot != ADM_NONE && a->calls[slot].phase == ATR_QUEUED &&
+        adm_remove(a->admission, slot)) {
+        atr_refuse(a, slot, REASON_CANCELLED, 0, now_us);
+    }
+    else if (slot != ADM_NONE && a->calls[slot].phase == ATR_AT_TARGET) {
+        atr_tell_target(a, &a->calls[slot]);
+    }
+    return dsp_cancel(a->attempts, nonce, now_us);
+}
+
+/* Drop queued calls that have waited too long, and tell the target of calls
+ * whose deadline has passed. */
+void
+atr_call_expire(atr *a, int64_t now_us)
+{
+    adm_refusal refusal;
+    while (adm_expire(&refusal, a->admission, now_us)) {
+        atr_refuse(a, refusal.handle, refusal.reason, 0, now_us);
+    }
+    for (int i = 0; i < NODE_RECEIVE_MAX; i++) {
+        atr_call *call = &a->calls[i];
+        if (call->phase == ATR_AT_TARGET && a->policy.deadline_drop &&
+            now_us > call->deadline_us) {
+            atr_tell_target(a, call);
+        }
+    }
+    dsp_expire(a->attempts, now_us);
+}
--- /dev/null
+++ b/src/node/cfs.c
@@ -0,0 +1,164 @@
+#include "cfs.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lav/ctr.h"
+#include "lav/log.h"
+#include "lav/ver.h"
+
+struct cfs {
+    node *node;
+    pthread_mutex_t lock; /* held while a configuration is put in force */
+    pthread_mutex_t read; /* held shortly, for the members below */
+    ver version;
+    char *head;        /* text of the head in force, or NULL */
+    GHashTable *files; /* hash -> text */
+};
+
+typedef struct cfs_loading {
+    cfs *owner;
+    GHashTable *files; /* of the head that is being loaded */
+    cfg_fetch_cb fetch;
+    void *payload;
+} cfs_loading;
+
+/* Make a store without a configuration. */
+int
+cfs_new(cfs **out, node *n, err *e)
+{
+    cfs *c = calloc(1, sizeof(*c));
+    if (c == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "configuration");
+    }
+    c->node = n;
+    pthread_mutex_init(&c->lock, NULL);
+    pthread_mutex_init(&c->read, NULL);
+    c->files = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+    *out = c;
+    return 0;
+}
+
+/* Release the store; takes NULL. */
+void
+cfs_free(cfs *c)
+{
+    if (c != NULL) {
+        g_hash_table_destroy(c->files);
+        free(c->head);
+        pthread_mutex_destroy(&c->lock);
+        pthread_mutex_destroy(&c->read);
+        free(c);
+    }
+}
+
+/* Version in force; 0 where there is none. */
+uint64_t
+cfs_version(cfs *c)
+{
+    pthread_mutex_lock(&c->read);
+    uint64_t version = c->version.in_force;
+    pthread_mutex_unlock(&c->read);
+    return version;
+}
+
+/* A file by its hash: from the store, else from wherever `fetch` gets it. */
+static int
+cfs_fetch(char **out, const char *hash, err *e, void *payload)
+{
+    cfs_loading *loading = payload;
+    pthread_mutex_lock(&loading->owner->read);
+    const char *known = g_hash_table_lookup(loading->owner->files, hash);
+    *out = known == NULL ? NULL : strdup(known);
+    pthread_mutex_unlock(&loading->owner->read);
+    if (*out == NULL) {
+        int result = loading->fetch(out, hash, e, loading->payload);
+        if (result < 0) {
+            return result;
+        }
+    }
+    g_hash_table_replace(loading->files, g_strdup(hash), strdup(*out));
+    return 0;
+}
+
+/* Put a loaded landscape in force, unless a newer one is by now. */
+static void
+cfs_enforce(cfs *c, uint64_t version, const char *head, land *landscape,
+            GHashTable *files)
+{
+    view_config_set(c->node->view, version, landscape);
+    pthread_mutex_lock(&c->read);
+    ver_apply(&c->version, version);
+    free(c->head);
+    c->head = strdup(head);
+    g_hash_table_destroy(c->files);
+    c->files = files;
+    pthread_mutex_unlock(&c->read);
+    log_write(LOG_INFO, NULL, "configuration %llu is in force",
+              (unsigned long long)version);
+}
+
+/*
+ * Put the configuration of a head in force.  A version that is not newer
+ * changes nothing and is counted.  A file that is not in the store is got
+ * by `fetch`; where one can't be had, the old configuration stays whole.
+ */
+int
+cfs_apply(cfs *c, uint64_t version, const char *head, cfg_fetch_cb fetch,
+          void *payload, err *e)
+{
+    cfg_head *parsed = malloc(sizeof(*parsed));
+    land *landscape = NULL;
+    int result = ERR_NO_MEMORY;
+    pthread_mutex_lock(&c->lock);
+    if (version <= cfs_version(c)) {
+        ctr_add(CTR_STALE_CONFIG, 1);
+        result = 0;
+        goto done;
+    }
+    if (parsed == NULL) {
+        goto done;
+    }
+    result = cfg_head_parse(parsed, head, e);
+    if (result < 0) {
+        goto done;
+    }
+    cfs_loading loading = {
+        c, g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free), fetch,
+        payload};
+    result = cfg_load(&landscape, parsed, cfs_fetch, &loading, e);
+    if (result < 0) {
+        g_hash_table_destroy(loading.files);
+        goto done;
+    }
+    cfs_enforce(c, version, head, landscape, loading.files);
+done:
+    pthread_mutex_unlock(&c->lock);
+    free(parsed);
+    return result;
+}
+
+/* A copy of the head or of a file by its key on the platform, for a peer;
+ * ERR_NOT_FOUND where this node does not hold it. */
+int
+cfs_lookup(msg_body *out, uint64_t *out_version, cfs *c, const char *key)
+{
+    size_t prefix = strlen(CFG_FILE_PREFIX);
+    const char *text = NULL;
+    int result = ERR_NOT_FOUND;
+    pthread_mutex_lock(&c->read);
+    if (strcmp(key, CFG_HEAD_KEY) == 0) {
+        text = c->head;
+    }
+    else if (strncmp(key, CFG_FILE_PREFIX, prefix) == 0) {
+        text = g_hash_table_lookup(c->files, key + prefix);
+    }
+    if (text != NULL) {
+        *out_version = c->version.in_force;
+        result = msg_body_copy(out, text, strlen(text));
+    }
+    pthread_mutex_unlock(&c->read);
+    return result;
+}
--- /dev/null
+++ b/src/node/dlv.c
@@ -0,0 +1,225 @@
+#include "dlv.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "duty.h"
+#include "lav/htc.h"
+#include "lav/ring.h"
+
+#define DLV_JOBS_MAX 4096
+#define DLV_CANCELS_MAX 1024
+#define DLV_WAIT_US 200000 /* 200 ms; then a thread looks whether to end */
+#define DLV_CANCEL_TIMEOUT_S 1
+#define DLV_CANCEL_ANSWER_MAX 4096
+#define DLV_PATH_SIZE 128
+
+typedef struct dlv_cancel_job {
+    char url[NST_URL_SIZE];
+    char request[ID_SIZE];
+} dlv_cancel_job;
+
+/* A client of the target, made anew when the target's address changes. */
+typedef struct dlv_client {
+    char url[NST_URL_SIZE];
+    htc *http;
+} dlv_client;
+
+struct dlv {
+    dlv_cb callback;
+    void *payload;
+    ring *jobs;
+    ring *cancels;
+    int thread_count;
+    duty threads[NODE_SLOTS_MAX];
+    duty canceller;
+};
+
+static htc *
+dlv_connect(dlv_client *client, const char *url)
+{
+    if (client->http != NULL && strcmp(client->url, url) == 0) {
+        return client->http;
+    }
+    htc_free(client->http);
+    client->http = NULL;
+    snprintf(client->url, sizeof(client->url), "%s", url);
+    if (htc_new(&client->http, url, NULL) < 0) {
+        return NULL;
+    }
+    return client->http;
+}
+
+static enum dlv_end
+dlv_end_of(int result)
+{
+    switch (result) {
+    case 0:
+        return DLV_DONE;
+    case ERR_UNAVAILABLE:
+        return DLV_NOT_SENT;
+    case ERR_FULL:
+        return DLV_TOO_LARGE;
+    default:
+        return DLV_LOST;
+    }
+}
+
+static void
+dlv_deliver(dlv_result *out, dlv_client *client, const dlv_job *job)
+{
+    const msg_call *call = job->call;
+    htc_answer answer = {0};
+    htc_request request = {
+        .method = call->method,
+        .path = call->path,
+        .content_type = call->content_type,
+        .body = call->body.bytes,
+        .length = call->body.length,
+        .headers = {{"Lav-Request-Id", call->request},
+                    {"Lav-Context", job->context}},
+        .may_resend = job->may_resend,
+        .timeout_s = job->timeout_s,
+        .answer_max = MSG_BODY_MAX,
+    };
+    *out = (dlv_result){.handle = job->handle, .end = DLV_NOT_SENT};
+    htc *http = dlv_connect(client, job->url);
+    if (http == NULL) {
+        return;
+    }
+    out->end = dlv_end_of(htc_exchange(&answer, http, &request, NULL));
+    out->resent = answer.resent;
+    out->status = answer.status;
+    snprintf(out->content_type, sizeof(out->content_type), "%s",
+             answer.content_type);
+    if (out->end == DLV_DONE) {
+        out->body = (msg_body){answer.length, answer.body};
+        answer.body = NULL;
+    }
+    htc_answer_clear(&answer);
+}
+
+static void
+dlv_main(void *payload)
+{
+    dlv *d = payload;
+    dlv_client client = {0};
+    dlv_job job;
+    while (!duty_ended(&d->canceller)) {
+        if (!ring_pop(&job, d->jobs, DLV_WAIT_US)) {
+            continue;
+        }
+        dlv_result result;
+        dlv_deliver(&result, &client, &job);
+        d->callback(&result, d->payload);
+    }
+    htc_free(client.http);
+}
+
+static void
+dlv_tell_cancel(dlv_client *client, const dlv_cancel_job *job)
+{
+    char path[DLV_PATH_SIZE];
+    htc_answer answer;
+    snprintf(path, sizeof(path), "/lav/call/%s", job->request);
+    htc_request request = {.method = "DELETE",
+                           .path = path,
+                           .may_resend = true,
+                           .timeout_s = DLV_CANCEL_TIMEOUT_S,
+                           .answer_max = DLV_CANCEL_ANSWER_MAX};
+    htc *http = dlv_connect(client, job->url);
+    if (http != NULL) {
+        (void)htc_exchange(&answer, http, &request, NULL);
+        htc_answer_clear(&answer);
+    }
+}
+
+static void
+dlv_cancel_main(void *payload)
+{
+    dlv *d = payload;
+    dlv_client client = {0};
+    dlv_cancel_job job;
+    while (!duty_ended(&d->canceller)) {
+        if (ring_pop(&job, d->cancels, DLV_WAIT_US)) {
+            dlv_tell_cancel(&client, &job);
+        }
+    }
+    htc_free(client.http);
+}
+
+/* Make it with no thread for calls yet; the callback is told of each job's
+ * end, from one of the threads. */
+int
+dlv_new(dlv **out, dlv_cb callback, void *payload, err *e)
+{
+    dlv *d = calloc(1, sizeof(*d));
+    if (d == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "deliverer");
+    }
+    d->callback = callback;
+    d->payload = payload;
+    int result = ring_new(&d->jobs, sizeof(dlv_job), DLV_JOBS_MAX);
+    if (result == 0) {
+        result =
+            ring_new(&d->cancels, sizeof(dlv_cancel_job), DLV_CANCELS_MAX);
+    }
+    if (result == 0) {
+        result = duty_start(&d->canceller, dlv_cancel_main, d, e);
+    }
+    if (result < 0) {
+        dlv_free(d);
+        return err_set(e, result, "deliverer");
+    }
+    *out = d;
+    return 0;
+}
+
+/* End the threads, each after its present call; takes NULL. */
+void
+dlv_free(dlv *d)
+{
+    if (d == NULL) {
+        return;
+    }
+    duty_end(&d->canceller);
+    for (int i = 0; i < d->thread_count; i++) {
+        duty_join(&d->threads[i]);
+    }
+    duty_join(&d->canceller);
+    ring_free(d->jobs);
+    ring_free(d->cancels);
+    free(d);
+}
+
+/* Have at least `threads` threads, up to NODE_SLOTS_MAX. */
+int
+dlv_set_threads(dlv *d, int threads, err *e)
+{
+    while (d->thread_count < threads && d->thread_count < NODE_SLOTS_MAX) {
+        int result = duty_start(&d->threads[d->thread_count], dlv_main, d, e);
+        if (result < 0) {
+            return result;
+        }
+        d->thread_count++;
+    }
+    return 0;
+}
+
+/* Hand a call over; ERR_FULL where too many wait already. */
+int
+dlv_submit(dlv *d, const dlv_job *job)
+{
+    return ring_push(d->jobs, job);
+}
+
+/* Tell the target that a call is not wanted any more. */
+void
+dlv_cancel(dlv *d, const char *url, const char *request)
+{
+    dlv_cancel_job job;
+    snprintf(job.url, sizeof(job.url), "%s", url);
+    snprintf(job.request, sizeof(job.request), "%s", request);
+    (void)ring_push(d->cancels, &job);
+}
--- /dev/null
+++ b/src/node/inb.c
@@ -0,0 +1,403 @@
+#include "inb.h"
+
+#include <microhttpd.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "atr.h"
+#include "inb_parse.h"
+#include "lav/ctr.h"
+#include "rtr.h"
+#include "sts.h"
+
+#define INB_CONNECTIONS_MAX 4096
+#define INB_IDLE_TIMEOUT_S 120
+#define INB_URL_SIZE 512 /* bytes of path and query, with the NUL */
+#define INB_TARGET_PATH "/lav/target"
+#define INB_ANNOUNCEMENT_MAX 4096 /* bytes */
+
+typedef struct inb_side {
+    struct inb *owner;
+    struct MHD_Daemon *daemon;
+    bool target; /* the side of the local target */
+} inb_side;
+
+struct inb {
+    node *node;
+    cal *calls;
+    inb_side callers;
+    inb_side target;
+};
+
+/* State of one HTTP request while it is read and answered. */
+typedef struct inb_request {
+    struct inb *owner;
+    int handle;     /* of the call, or CAL_NONE */
+    bool begun;     /* the headers have been read */
+    bool submitted; /* the router has it */
+    bool too_large;
+    char url[INB_URL_SIZE];
+    size_t length;
+    size_t size;
+    char *body;
+} inb_request;
+
+static int
+inb_outcome_status(const cal_answer *answer)
+{
+    if (answer->outcome == OUTCOME_DONE) {
+        return answer->status;
+    }
+    if (answer->outcome == OUTCOME_UNKNOWN) {
+        return MHD_HTTP_GATEWAY_TIMEOUT;
+    }
+    switch (answer->reason) {
+    case REASON_BAD_REQUEST:
+    case REASON_BAD_REQUEST_ID:
+        return MHD_HTTP_BAD_REQUEST;
+    case REASON_BODY_TOO_LARGE:
+        return MHD_HTTP_CONTENT_TOO_LARGE;
+    case REASON_UNKNOWN_OPERATION:
+        return MHD_HTTP_NOT_FOUND;
+    case REASON_CALL_NOT_ALLOWED:
+        return MHD_HTTP_FORBIDDEN;
+    default:
+        return MHD_HTTP_SERVICE_UNAVAILABLE;
+    }
+}
+
+static enum MHD_Result
+inb_respond(struct MHD_Connection *connection, const cal_answer *answer,
+            const char *request_id)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        answer->body.length, answer->body.bytes, MHD_RESPMEM_MUST_COPY);
+    if (response == NULL) {
+        return MHD_NO;
+    }
+    MHD_add_response_header(response, "Lav-Outcome",
+                            outcome_name(answer->outcome));
+    MHD_add_response_header(response, "Lav-Reason",
+                            reason_name(answer->reason));
+    if (request_id[0] != '\0') {
+        MHD_add_response_header(response, "Lav-Request-Id", request_id);
+    }
+    if (answer->content_type[0] != '\0') {
+        MHD_add_response_header(response, "Content-Type",
+                                answer->content_type);
+    }
+    if (answer->outcome == OUTCOME_NOT_RUN) {
+        MHD_add_response_header(response, "Retry-After", "1");
+    }
+    enum MHD_Result queued = MHD_queue_response(
+        connection, (unsigned)inb_outcome_status(answer), response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+/* Refuse a request that never became a call. */
+static enum MHD_Result
+inb_refuse(struct MHD_Connection *connection, enum reason reason)
+{
+    cal_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
+    ctr_reason(reason);
+    ctr_add(CTR_NOT_RUN, 1);
+    return inb_respond(connection, &answer, "");
+}
+
+static enum MHD_Result
+inb_send_text(struct MHD_Connection *connection, unsigned status, char *text)
+{
+    if (text == NULL) {
+        return MHD_NO;
+    }
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(response, "Content-Type", "application/json");
+    enum MHD_Result queued = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return queued;
+}
+
+static const char *
+inb_header(struct MHD_Connection *connection, const char *name)
+{
+    return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+}
+
+static void
+inb_read_headers(cal_call *call, struct MHD_Connection *connection)
+{
+    inb_headers headers = {
+        .request_id = inb_header(connection, "Lav-Request-Id"),
+        .attempt = inb_header(connection, "Lav-Attempt"),
+        .context = inb_header(connection, "Lav-Context"),
+        .key = inb_header(connection, "Lav-Call-Key"),
+        .content_type = inb_header(connection, "Content-Type"),
+    };
+    inb_parse_headers(call, &headers);
+}
+
+static int
+inb_connection_socket(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == NULL ? -1 : info->connect_fd;
+}
+
+/* Make a call of a whole request and hand it to the router. */
+static enum MHD_Result
+inb_submit(inb_side *side, struct MHD_Connection *connection,
+           inb_request *request, const char *method)
+{
+    inb *i = side->owner;
+    if (request->too_large) {
+        return inb_refuse(connection, REASON_BODY_TOO_LARGE);
+    }
+    int handle = cal_take(i->calls);
+    if (handle == CAL_NONE) {
+        return inb_refuse(connection, REASON_TABLE_FULL);
+    }
+    cal_call *call = cal_get(i->calls, handle);
+    call->connection = connection;
+    call->socket = inb_connection_socket(connection);
+    call->from_target = side->target;
+    if (strlen(method) >= sizeof(call->method) ||
+        inb_parse_path(call, request->url) < 0) {
+        cal_give_back(i->calls, handle);
+        return inb_refuse(connection, REASON_UNKNOWN_OPERATION);
+    }
+    snprintf(call->method, sizeof(call->method), "%s", method);
+    inb_read_headers(call, connection);
+    call->body = (msg_body){request->length, request->body};
+    request->body = NULL;
+    request->handle = handle;
+    request->submitted = true;
+    MHD_suspend_connection(connection);
+    if (rtr_submit(i->node->router, handle) < 0) {
+        call->answer = (cal_answer){.outcome = OUTCOME_NOT_RUN,
+                                    .reason = REASON_RING_FULL};
+        ctr_reason(REASON_RING_FULL);
+        ctr_add(CTR_NOT_RUN, 1);
+        MHD_resume_connection(connection);
+    }
+    return MHD_YES;
+}
+
+static enum MHD_Result
+inb_announce(inb *i, struct MHD_Connection *connection,
+             const inb_request *request)
+{
+    inb_announcement announcement;
+    err e = ERR_INIT;
+    const char *text = request->body == NULL ? "" : request->body;
+    if (request->length > INB_ANNOUNCEMENT_MAX ||
+        inb_parse_announcement(&announcement, text, &e) < 0) {
+        return inb_refuse(connection, REASON_BAD_REQUEST);
+    }
+    atr_announce(i->node->admitter, &announcement);
+    return inb_send_text(connection, MHD_HTTP_OK, sts_target(i->node));
+}
+
+static enum MHD_Result
+inb_dispatch(inb_side *side, struct MHD_Connection *connection,
+             inb_request *request, const char *method)
+{
+    inb *i = side->owner;
+    if (side->target && strcmp(request->url, INB_TARGET_PATH) == 0) {
+        return inb_announce(i, connection, request);
+    }
+    if (!side->target && strcmp(request->url, "/lav/status") == 0) {
+        return inb_send_text(connection, MHD_HTTP_OK, sts_status(i->node));
+    }
+    if (!side->target &&
+        strncmp(request->url, "/lav/explain?", strlen("/lav/explain?")) == 0) {
+        const char *id_text = MHD_lookup_connection_value(
+            connection, MHD_GET_ARGUMENT_KIND, "id");
+        return inb_send_text(
+            connection, MHD_HTTP_OK,
+            sts_explain(i->node, id_text == NULL ? "" : id_text));
+    }
+    return inb_submit(side, connection, request, method);
+}
+
+/* Keep a part of the body; a body over the limit is read and dropped. */
+static void
+inb_collect(inb_request *request, const char *bytes, size_t length)
+{
+    if (request->too_large || request->length + length > MSG_BODY_MAX) {
+        request->too_large = true;
+        return;
+    }
+    if (request->length + length + 1 > request->size) {
+        size_t size = 2 * (request->length + length + 1);
+        char *larger = realloc(request->body, size);
+        if (larger == NULL) {
+            request->too_large = true;
+            return;
+        }
+        request->body = larger;
+        request->size = size;
+    }
+    memcpy(request->body + request->length, bytes, length);
+    request->length += length;
+    request->body[request->length] = '\0';
+}
+
+static enum MHD_Result
+inb_finish(inb_request *request, struct MHD_Connection *connection)
+{
+    inb *i = request->owner;
+    cal_call *call = cal_get(i->calls, request->handle);
+    return inb_respond(connection, &call->answer, call->request.text);
+}
+
+/* Called by libmicrohttpd: once for the headers, for each part of the body,
+ * at the end of the body, and again after the connection is resumed. */
+static enum MHD_Result
+inb_handle(void *payload, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload,
+           size_t *upload_size, void **state)
+{
+    (void)url;
+    (void)version;
+    inb_side *side = payload;
+    inb_request *request = *state;
+    if (request == NULL || request->owner == NULL) {
+        return MHD_NO;
+    }
+    if (!request->begun) {
+        request->begun = true;
+        return MHD_YES;
+    }
+    if (*upload_size > 0) {
+        inb_collect(request, upload, *upload_size);
+        *upload_size = 0;
+        return MHD_YES;
+    }
+    if (request->submitted) {
+        return inb_finish(request, connection);
+    }
+    return inb_dispatch(side, connection, request, method);
+}
+
+/* Called with the raw URI of a new request; its result is the state. */
+static void *
+inb_begin(void *payload, const char *uri, struct MHD_Connection *connection)
+{
+    (void)connection;
+    inb_side *side = payload;
+    inb_request *request = calloc(1, sizeof(*request));
+    if (request != NULL) {
+        request->owner = side->owner;
+        request->handle = CAL_NONE;
+        snprintf(request->url, sizeof(request->url), "%s", uri);
+    }
+    return request;
+}
+
+static void
+inb_completed(void *payload, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+    (void)payload;
+    (void)connection;
+    (void)code;
+    inb_request *request = *state;
+    if (request == NULL) {
+        return;
+    }
+    if (request->handle != CAL_NONE) {
+        cal_give_back(request->owner->calls, request->handle);
+    }
+    free(request->body);
+    free(request);
+    *state = NULL;
+}
+
+static int
+inb_start(inb_side *side, const char *address, int64_t port, err *e)
+{
+    struct sockaddr_in bound = {.sin_family = AF_INET,
+                                .sin_port = htons((uint16_t)port)};
+    if (inet_pton(AF_INET, address, &bound.sin_addr) != 1) {
+        return err_set(e, ERR_INVALID, "not an address: %s", address);
+    }
+    side->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
+        (uint16_t)port, NULL, NULL, inb_handle, side, MHD_OPTION_SOCK_ADDR,
+        &bound, MHD_OPTION_URI_LOG_CALLBACK, inb_begin, side,
+        MHD_OPTION_NOTIFY_COMPLETED, inb_completed, side,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)INB_CONNECTIONS_MAX,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)INB_IDLE_TIMEOUT_S,
+        MHD_OPTION_END);
+    if (side->daemon == NULL) {
+        return err_set(e, ERR_IO, "can't listen at %s:%lld", address,
+                       (long long)port);
+    }
+    return 0;
+}
+
+/* Listen at both addresses. */
+int
+inb_new(inb **out, node *n, cal *calls, err *e)
+{
+    inb *i = calloc(1, sizeof(*i));
+    if (i == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "inbound");
+    }
+    i->node = n;
+    i->calls = calls;
+    i->callers = (inb_side){i, NULL, false};
+    i->target = (inb_side){i, NULL, true};
+    int result = inb_start(&i->callers, n->settings.address,
+                           n->settings.callers_port, e);
+    if (result == 0) {
+        result = inb_start(&i->target, n->settings.address,
+                           n->settings.target_port, e);
+    }
+    if (result < 0) {
+        inb_free(i);
+        return result;
+    }
+    *out = i;
+    return 0;
+}
+
+/* Stop listening for callers; requests in flight go on. */
+void
+inb_quiesce(inb *i)
+{
+    MHD_socket listening = MHD_quiesce_daemon(i->callers.daemon);
+    if (listening != MHD_INVALID_SOCKET) {
+        close(listening);
+    }
+}
+
+/* Close both sides once no call is suspended; takes NULL. */
+void
+inb_free(inb *i)
+{
+    if (i == NULL) {
+        return;
+    }
+    if (i->callers.daemon != NULL) {
+        MHD_stop_daemon(i->callers.daemon);
+    }
+    if (i->target.daemon != NULL) {
+        MHD_stop_daemon(i->target.daemon);
+    }
+    free(i);
+}
+
+/* The router has put the answer into a call: let it be sent. */
+void
+inb_answer(inb *i, int handle)
+{
+    MHD_resume_connection(cal_get(i->calls, handle)->connection);
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,180 @@
+#include "node.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+#include "atr.h"
+#include "cal.h"
+#include "cfs.h"
+#include "ctl.h"
+#include "dlv.h"
+#include "gsp.h"
+#include "inb.h"
+#include "lav/adm.h"
+#include "lav/clk.h"
+#include "lav/log.h"
+#include "lav/stp.h"
+#include "rtr.h"
+#include "srv.h"
+#include "syn.h"
+
+#define NODE_STEP_US 20000 /* of the main thread */
+
+static atomic_int node_stop_requested;
+
+/* Ask the running node for a planned stop; safe in a signal handler. */
+void
+node_request_stop(void)
+{
+    atomic_store(&node_stop_requested, 1);
+}
+
+static void
+node_init_load(node_load *load)
+{
+    atomic_store(&load->level, ADM_LEVEL_MAX);
+    for (int i = 0; i < SVC_OPERATIONS_MAX; i++) {
+        atomic_store(&load->callee_levels[i], ADM_LEVEL_MAX);
+    }
+}
+
+static int
+node_make_state(node *n, err *e)
+{
+    if (view_new(&n->view) < 0 || tok_new(&n->tokens, NODE_RECEIVE_MAX) < 0 ||
+        xpl_new(&n->decisions, NODE_DECISIONS_MAX) < 0) {
+        return err_set(e, ERR_NO_MEMORY, "node");
+    }
+    int result = cfs_new(&n->configs, n, e);
+    if (result == 0) {
+        result = gsp_new(&n->gossip, n, e);
+    }
+    return result;
+}
+
+static int
+node_make_calls(node *n, err *e)
+{
+    int result = cal_new(&n->calls, (size_t)n->settings.calls_max);
+    if (result < 0) {
+        return err_set(e, result, "calls");
+    }
+    result = dlv_new(&n->deliverer, atr_delivered, n, e);
+    if (result == 0) {
+        result = atr_new(&n->admitter, n, e);
+    }
+    if (result == 0) {
+        result = rtr_new(&n->router, n, n->calls, e);
+    }
+    return result;
+}
+
+static int
+node_open(node *n, err *e)
+{
+    const nst *s = &n->settings;
+    int result = ctl_new(&n->control, n, e);
+    if (result == 0) {
+        result = srv_new(&n->receiver, s->address, s->peer_port,
+                         NODE_RECEIVE_MAX, atr_arrive, n, e);
+    }
+    if (result == 0) {
+        result = inb_new(&n->inbound, n, n->calls, e);
+    }
+    if (result == 0) {
+        result = gsp_start(n->gossip, e);
+    }
+    if (result == 0) {
+        result = syn_new(&n->sync, n, e);
+    }
+    return result;
+}
+
+/* Make a node and begin to serve. */
+int
+node_new(node **out, const nst *settings, err *e)
+{
+    node *n = calloc(1, sizeof(*n));
+    if (n == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "node");
+    }
+    n->settings = *settings;
+    n->incarnation = mbr_incarnation(clk_wall_ms());
+    node_init_load(&n->load);
+    view_thread_enter();
+    int result = node_make_state(n, e);
+    if (result == 0) {
+        result = node_make_calls(n, e);
+    }
+    if (result == 0) {
+        result = node_open(n, e);
+    }
+    if (result < 0) {
+        node_free(n);
+        return result;
+    }
+    *out = n;
+    return 0;
+}
+
+/* Close and release everything, in the order in which the duties speak to
+ * each other; takes NULL. */
+void
+node_free(node *n)
+{
+    if (n == NULL) {
+        return;
+    }
+    syn_free(n->sync);
+    if (n->gossip != NULL) {
+        gsp_stop(n->gossip);
+    }
+    inb_free(n->inbound);
+    if (n->router != NULL) {
+        rtr_stop(n->router);
+    }
+    dlv_free(n->deliverer);
+    if (n->admitter != NULL) {
+        atr_stop(n->admitter);
+    }
+    srv_free(n->receiver);
+    ctl_free(n->control);
+    rtr_free(n->router);
+    atr_free(n->admitter);
+    gsp_free(n->gossip);
+    cfs_free(n->configs);
+    cal_free(n->calls);
+    tok_free(n->tokens);
+    xpl_free(n->decisions);
+    view_thread_leave();
+    view_free(n->view);
+    free(n);
+}
+
+/* Serve until a planned stop is over; returns 0. */
+int
+node_run(node *n)
+{
+    stp stop;
+    bool quiesced = false;
+    stp_init(&stop, n->settings.linger_ms * CLK_US_PER_MS);
+    while (stop.phase != STP_STOPPED) {
+        int64_t now_us = clk_now_us();
+        if (atomic_load(&node_stop_requested) != 0 &&
+            stop.phase == STP_RUNNING) {
+            log_write(LOG_INFO, NULL, "stopping: told the peers");
+            atomic_store(&n->load.stopping, 1);
+            stp_request(&stop, now_us);
+        }
+        int in_flight =
+            atomic_load(&n->load.callers) + atomic_load(&n->load.serving);
+        stp_step(&stop, in_flight, now_us);
+        if (!stp_takes_callers(&stop) && !quiesced) {
+            quiesced = true;
+            inb_quiesce(n->inbound);
+        }
+        clk_sleep_us(NODE_STEP_US);
+    }
+    log_write(LOG_INFO, NULL, "stopped: nothing is in flight");
+    return 0;
+}
--- /dev/null
+++ b/src/node/own.h
@@ -0,0 +1,18 @@
+/*
+ * own: the map of owners of one service as text on the platform,
+ * "owners/SERVICE":
+ *
+ *   {"horizon": MS, "epochs": [{"from": MS, "members": [INCARNATION]}]}
+ */
+#ifndef LAV_NODE_OWN_H
+#define LAV_NODE_OWN_H
+
+#include "lav/amo.h"
+#include "lav/err.h"
+
+int
+own_parse(amo_map *out, const char *text, uint64_t version, err *e);
+char *
+own_format(const amo_map *map);
+
+#endif
--- /dev/null
+++ b/src/node/per.c
@@ -0,0 +1,288 @@
+#include "per.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lav/clk.h"
+#include "lav/ctr.h"
+#include "lav/nst.h"
+
+#define PER_URL_SIZE (NST_ADDRESS_SIZE + 16)
+#define PER_RECONNECT_MIN_MS 20
+#define PER_RECONNECT_MAX_MS 500
+
+typedef struct per_peer {
+    char url[PER_URL_SIZE]; /* empty where the entry is free */
+    nng_socket socket;
+    int attempts;    /* under way */
+    int64_t used_us; /* when an attempt was last sent */
+} per_peer;
+
+typedef struct per_attempt {
+    struct per *owner;
+    bool used;
+    bool sent;
+    uint64_t nonce;
+    int peer; /* index into peers */
+    int64_t wait_ms;
+    nng_ctx context;
+    nng_aio *aio;
+} per_attempt;
+
+struct per {
+    pthread_mutex_t lock;
+    per_cb callback;
+    void *payload;
+    per_peer peers[PER_PEERS_MAX];
+    size_t attempt_count;
+    per_attempt *attempts;
+    size_t free_count;
+    int *free_list; /* indexes of unused attempts */
+};
+
+static void
+per_step(void *payload);
+
+/* Make room for `attempts_max` attempts at a time. */
+int
+per_new(per **out, size_t attempts_max, per_cb callback, void *payload, err *e)
+{
+    per *p = calloc(1, sizeof(*p));
+    if (p == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "peers");
+    }
+    pthread_mutex_init(&p->lock, NULL);
+    p->callback = callback;
+    p->payload = payload;
+    p->attempts = calloc(attempts_max, sizeof(*p->attempts));
+    p->free_list = calloc(attempts_max, sizeof(*p->free_list));
+    if (p->attempts == NULL || p->free_list == NULL) {
+        per_free(p);
+        return err_set(e, ERR_NO_MEMORY, "peers");
+    }
+    p->attempt_count = attempts_max;
+    for (size_t i = 0; i < attempts_max; i++) {
+        p->attempts[i].owner = p;
+        p->free_list[p->free_count++] = (int)(attempts_max - 1 - i);
+    }
+    *out = p;
+    return 0;
+}
+
+/* Close every connection and release; takes NULL. */
+void
+per_free(per *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < PER_PEERS_MAX; i++) {
+        if (p->peers[i].url[0] != '\0') {
+            nng_close(p->peers[i].socket);
+        }
+    }
+    for (size_t i = 0; i < p->attempt_count; i++) {
+        if (p->attempts[i].aio != NULL) {
+            nng_aio_stop(p->attempts[i].aio);
+            nng_aio_free(p->attempts[i].aio);
+        }
+    }
+    free(p->attempts);
+    free(p->free_list);
+    pthread_mutex_destroy(&p->lock);
+    free(p);
+}
+
+static int
+per_open(per_peer *peer, const char *url)
+{
+    nng_dialer dialer;
+    if (nng_req0_open(&peer->socket) != 0) {
+        return ERR_FULL;
+    }
+    nng_socket_set_ms(peer->socket, NNG_OPT_REQ_RESENDTIME,
+                      NNG_DURATION_INFINITE);
+    nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMINT, PER_RECONNECT_MIN_MS);
+    nng_socket_set_ms(peer->socket, NNG_OPT_RECONNMAXT, PER_RECONNECT_MAX_MS);
+    nng_socket_set_size(peer->socket, NNG_OPT_RECVMAXSZ, MSG_SIZE_MAX);
+    if (nng_dialer_create(&dialer, peer->socket, url) != 0 ||
+        nng_dialer_set_bool(dialer, NNG_OPT_TCP_NODELAY, true) != 0 ||
+        nng_dialer_start(dialer, NNG_FLAG_NONBLOCK) != 0) {
+        nng_close(peer->socket);
+        return ERR_INVALID;
+    }
+    snprintf(peer->url, sizeof(peer->url), "%s", url);
+    peer->attempts = 0;
+    return 0;
+}
+
+/* Entry to use for a new peer: a free one, else the one unused longest. */
+static per_peer *
+per_vacate(per *p)
+{
+    per_peer *oldest = NULL;
+    for (size_t i = 0; i < PER_PEERS_MAX; i++) {
+        per_peer *peer = &p->peers[i];
+        if (peer->url[0] == '\0') {
+            return peer;
+        }
+        if (peer->attempts == 0 &&
+            (oldest == NULL || peer->used_us < oldest->used_us)) {
+            oldest = peer;
+        }
+    }
+    if (oldest != NULL) {
+        nng_close(oldest->socket);
+        oldest->url[0] = '\0';
+    }
+    return oldest;
+}
+
+/* Index of the peer at an address, connected on first use. */
+static int
+per_find(per *p, const char *address, uint16_t port)
+{
+    char url[PER_URL_SIZE];
+    snprintf(url, sizeof(url), "tcp://%s:%u", address, port);
+    for (size_t i = 0; i < PER_PEERS_MAX; i++) {
+        if (strcmp(p->peers[i].url, url) == 0) {
+            return (int)i;
+        }
+    }
+    per_peer *peer = per_vacate(p);
+    if (peer == NULL || per_open(peer, url) < 0) {
+        return ERR_FULL;
+    }
+    return (int)(peer - p->peers);
+}
+
+static per_attempt *
+per_take(per *p, int peer)
+{
+    if (p->free_count == 0) {
+        return NULL;
+    }
+    per_attempt *attempt = &p->attempts[p->free_list[p->free_count - 1]];
+    if (attempt->aio == NULL &&
+        nng_aio_alloc(&attempt->aio, per_step, attempt) != 0) {
+        return NULL;
+    }
+    if (nng_ctx_open(&attempt->context, p->peers[peer].socket) != 0) {
+        return NULL;
+    }
+    p->free_count--;
+    attempt->used = true;
+    attempt->sent = false;
+    attempt->peer = peer;
+    p->peers[peer].attempts++;
+    p->peers[peer].used_us = clk_now_us();
+    return attempt;
+}
+
+static void
+per_give_back(per *p, per_attempt *attempt)
+{
+    nng_ctx_close(attempt->context);
+    pthread_mutex_lock(&p->lock);
+    attempt->used = false;
+    p->peers[attempt->peer].attempts--;
+    p->free_list[p->free_count++] = (int)(attempt - p->attempts);
+    pthread_mutex_unlock(&p->lock);
+}
+
+static void
+per_finish(per_attempt *attempt, enum per_result result, msg *reply)
+{
+    per *p = attempt->owner;
+    uint64_t nonce = attempt->nonce;
+    per_give_back(p, attempt);
+    p->callback(nonce, result, reply, p->payload);
+}
+
+static void
+per_received(per_attempt *attempt)
+{
+    nng_msg *raw = nng_aio_get_msg(attempt->aio);
+    msg *reply = calloc(1, sizeof(*reply));
+    enum per_result result = PER_REPLY;
+    if (reply == NULL ||
+        msg_decode(reply, nng_msg_body(raw), nng_msg_len(raw), NULL) < 0) {
+        ctr_reason(REASON_BAD_MESSAGE);
+        free(reply);
+        reply = NULL;
+        result = PER_LOST;
+    }
+    nng_msg_free(raw);
+    per_finish(attempt, result, reply);
+}
+
+/* Called by nng when the send or the receive of an attempt is over. */
+static void
+per_step(void *payload)
+{
+    per_attempt *attempt = payload;
+    bool failed = nng_aio_result(attempt->aio) != 0;
+    if (!attempt->sent && failed) {
+        nng_msg_free(nng_aio_get_msg(attempt->aio));
+        per_finish(attempt, PER_NOT_SENT, NULL);
+    }
+    else if (!attempt->sent) {
+        attempt->sent = true;
+        nng_aio_set_timeout(attempt->aio, (nng_duration)attempt->wait_ms);
+        nng_ctx_recv(attempt->context, attempt->aio);
+    }
+    else if (failed) {
+        per_finish(attempt, PER_LOST, NULL);
+    }
+    else {
+        per_received(attempt);
+    }
+}
+
+static nng_msg *
+per_encode(const msg *m)
+{
+    char *bytes = NULL;
+    size_t length = 0;
+    nng_msg *raw = NULL;
+    if (msg_encode(&bytes, &length, m) < 0) {
+        return NULL;
+    }
+    if (nng_msg_alloc(&raw, 0) == 0 &&
+        nng_msg_append(raw, bytes, length) != 0) {
+        nng_msg_free(raw);
+        raw = NULL;
+    }
+    free(bytes);
+    return raw;
+}
+
+/* Send an attempt to the node at an address and wait up to `wait_ms` for
+ * the reply.  On a negative result nothing was sent and nobody is told. */
+int
+per_send(per *p, const char *address, uint16_t port, const msg *m,
+         uint64_t nonce, int64_t wait_ms)
+{
+    nng_msg *raw = per_encode(m);
+    if (raw == NULL) {
+        return ERR_NO_MEMORY;
+    }
+    pthread_mutex_lock(&p->lock);
+    int peer = per_find(p, address, port);
+    per_attempt *attempt = peer < 0 ? NULL : per_take(p, peer);
+    pthread_mutex_unlock(&p->lock);
+    if (attempt == NULL) {
+        nng_msg_free(raw);
+        return ERR_FULL;
+    }
+    attempt->nonce = nonce;
+    attempt->wait_ms = wait_ms;
+    nng_aio_set_timeout(attempt->aio, PER_CONNECT_MS);
+    nng_aio_set_msg(attempt->aio, raw);
+    nng_ctx_send(attempt->context, attempt->aio);
+    return 0;
+}
--- /dev/null
+++ b/src/node/rtr_attempt.c
@@ -0,0 +1,438 @@
+/* Instances and attempts: pick one, send, judge what became of it. */
+#include <string.h>
+
+#include "lav/clk.h"
+#include "lav/ctr.h"
+#include "lav/dsp.h"
+#include "lav/rty.h"
+#include "rtr_private.h"
+
+#define RTR_REPLY_GRACE_MS 30 /* a far node answers by the deadline itself */
+
+typedef struct rtr_choice {
+    size_t count;
+    rte_candidate candidates[RTR_CANDIDATES_MAX];
+    const mbr_entry *entries[RTR_CANDIDATES_MAX]; /* valid while read */
+} rtr_choice;
+
+static bool
+rtr_was_tried(const rtr_call *state, uint64_t incarnation)
+{
+    for (size_t i = 0; i < state->tried_count; i++) {
+        if (state->tried[i] == incarnation) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+rtr_takes_work(const mbr_entry *entry)
+{
+    return entry->state == MBR_READY || entry->state == MBR_SUSPECT;
+}
+
+/* The instances of a call's service, within a read of the fleet. */
+static void
+rtr_gather(rtr_choice *out, rtr *r, const char *service, const char *operation,
+           const rtr_call *state, int64_t now_us)
+{
+    const view_fleet *fleet = view_fleet_get(r->node->view);
+    out->count = 0;
+    for (size_t i = 0; i < fleet->count; i++) {
+        const mbr_entry *entry = &fleet->entries[i];
+        if (strcmp(entry->service, service) != 0 || !rtr_takes_work(entry) ||
+            out->count == RTR_CANDIDATES_MAX) {
+            continue;
+        }
+        const ins_instance *instance =
+            ins_get(r->instances, entry->incarnation, now_us);
+        rte_candidate *c = &out->candidates[out->count];
+        c->incarnation = entry->incarnation;
+        c->usable = now_us >= instance->down_until_us;
+        c->usable = c->usable && (state == NULL ||
+                                  !rtr_was_tried(state, entry->incarnation));
+        c->same_zone = strcmp(entry->zone, r->node->settings.zone) == 0;
+        c->level =
+            lvl_instance(r->levels, operation, entry->incarnation, now_us);
+        c->outstanding = instance->outstanding;
+        c->load_permille = ins_load(instance, now_us);
+        out->entries[out->count++] = entry;
+    }
+}
+
+static int
+rtr_priority(const rtr_call *state)
+{
+    return adm_priority(state->klass, state->policy.rank ? state->rank : 0);
+}
+
+/* Whether every instance is known to refuse the call. */
+bool
+rtr_refused_early(rtr *r, int handle, int64_t now_us)
+{
+    const rtr_call *state = &r->states[handle];
+    const cal_call *call = cal_get(r->calls, handle);
+    rtr_choice choice;
+    view_read_begin();
+    rtr_gather(&choice, r, call->service, state->operation, NULL, now_us);
+    view_read_end();
+    return rte_refused_early(choice.candidates, choice.count,
+                             rtr_priority(state));
+}
+
+/* Level below which at least one instance takes calls of an operation. */
+int
+rtr_operation_level(rtr *r, const char *service, const char *operation,
+                    int64_t now_us)
+{
+    rtr_choice choice;
+    int level = 0;
+    view_read_begin();
+    rtr_gather(&choice, r, service, operation, NULL, now_us);
+    view_read_end();
+    for (size_t i = 0; i < choice.count; i++) {
+        if (choice.candidates[i].level > level) {
+            level = choice.candidates[i].level;
+        }
+    }
+    return choice.count == 0 ? ADM_LEVEL_MAX : level;
+}
+
+static int
+rtr_choose(const rtr_choice *choice, const rtr_call *state,
+           const cal_call *call)
+{
+    if (state->idempotent) {
+        int priority = state->policy.early_refusal ? rtr_priority(state) : 0;
+        return rte_pick(choice->candidates, choice->count, priority,
+                        id_random());
+    }
+    return rte_owner(choice->candidates, choice->count,
+                     id_hash(call->request.text));
+}
+
+/* Units of the budget that go along with an attempt. */
+static int
+rtr_lend(rtr_call *state)
+{
+    int share = state->has_callees ? state->budget / 2 : 0;
+    state->budget -= share;
+    return share;
+}
+
+static void
+rtr_fill(msg *out, const rtr *r, const rtr_call *state, const cal_call *call,
+         bool none_ran, int64_t now_us)
+{
+    memset(out, 0, sizeof(*out));
+    out->kind = MSG_CALL;
+    msg_call *m = &out->call;
+    m->nonce = state->nonce;
+    memcpy(m->request, call->request.text, sizeof(m->request));
+    memcpy(m->root, state->root.text, sizeof(m->root));
+    memcpy(m->service, call->service, sizeof(m->service));
+    memcpy(m->operation, call->operation, sizeof(m->operation));
+    memcpy(m->method, call->method, sizeof(m->method));
+    memcpy(m->path, call->path, sizeof(m->path));
+    memcpy(m->content_type, call->content_type, sizeof(m->content_type));
+    m->klass = state->klass;
+    m->depth = state->depth;
+    m->budget = state->lent;
+    m->first = none_ran;
+    const ins_instance *instance =
+        ins_get(r->instances, state->instance, now_us);
+    m->left_us = state->deadline_us - now_us - instance->transit_us;
+    m->sent_ms = clk_wall_ms();
+    m->checksum = ans_checksum(call->body.bytes, call->body.length);
+    m->body = call->body;
+}
+
+static void
+rtr_not_sent(rtr *r, int handle, int64_t now_us);
+
+static void
+rtr_send(rtr *r, int handle, const mbr_entry *entry, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    const cal_call *call = cal_get(r->calls, handle);
+    msg m;
+    bool none_ran = ocm_verdict(&state->truth) == OUTCOME_NOT_RUN;
+    state->instance = entry->incarnation;
+    state->nonce = id_random();
+    state->attempt = ocm_begin(&state->truth);
+    state->lent = rtr_lend(state);
+    state->sent_us = now_us;
+    state->phase = RTR_WAITING;
+    state->wake_us = state->deadline_us;
+    rtr_fill(&m, r, state, call, none_ran, now_us);
+    int64_t wait_ms =
+        (state->deadline_us - now_us) / CLK_US_PER_MS + RTR_REPLY_GRACE_MS;
+    ctr_add(CTR_ATTEMPTS, 1);
+    ins_get(r->instances, state->instance, now_us)->outstanding++;
+    if (ans_expect(r->answers, state->nonce, handle, state->attempt) < 0 ||
+        per_send(r->attempts, entry->address, entry->peer_port, &m,
+                 state->nonce, wait_ms) < 0) {
+        rtr_not_sent(r, handle, now_us);
+    }
+}
+
+static bool
+rtr_find_member(mbr_entry *out, rtr *r, uint64_t incarnation)
+{
+    bool found = false;
+    view_read_begin();
+    const view_fleet *fleet = view_fleet_get(r->node->view);
+    for (size_t i = 0; i < fleet->count && !found; i++) {
+        found = fleet->entries[i].incarnation == incarnation;
+        *out = fleet->entries[i];
+    }
+    view_read_end();
+    return found;
+}
+
+/* The instance to send the next attempt to; false where there is none, and
+ * then `out_reason` says why. */
+static bool
+rtr_next_instance(mbr_entry *out, enum reason *out_reason, rtr *r, int handle,
+                  int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    const cal_call *call = cal_get(r->calls, handle);
+    rtr_choice choice;
+    if (state->owner != 0) {
+        *out_reason = REASON_OWNER_GONE;
+        return rtr_find_member(out, r, state->owner) && out->state != MBR_DEAD;
+    }
+    view_read_begin();
+    rtr_gather(&choice, r, call->service, state->operation, state, now_us);
+    int picked = rtr_choose(&choice, state, call);
+    if (picked != RTE_NONE) {
+        *out = *choice.entries[picked];
+    }
+    view_read_end();
+    *out_reason = choice.count > 0 ? REASON_EARLY_REFUSAL : REASON_NO_TARGET;
+    if (state->reason != REASON_NONE) {
+        *out_reason = state->reason;
+    }
+    return picked != RTE_NONE;
+}
+
+/* Send an attempt of a call, or answer it where there is nobody to ask. */
+void
+rtr_try(rtr *r, int handle, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    mbr_entry entry;
+    enum reason reason = REASON_NONE;
+    if (!rtr_next_instance(&entry, &reason, r, handle, now_us) ||
+        state->truth.count == OCM_ATTEMPTS_MAX) {
+        rtr_finish(r, handle, reason, NULL, now_us);
+        return;
+    }
+    xpl_note(r->node->decisions, state->root.text,
+             cal_get(r->calls, handle)->request.text,
+             "attempt %zu of %s to %s", state->truth.count + 1,
+             state->operation, entry.name);
+    rtr_send(r, handle, &entry, now_us);
+}
+
+static void
+rtr_pass_over(rtr_call *state)
+{
+    if (state->tried_count < OCM_ATTEMPTS_MAX) {
+        state->tried[state->tried_count++] = state->instance;
+    }
+}
+
+/* Count and take one unit of the budget; false where there is none. */
+static bool
+rtr_spend(rtr *r, rtr_call *state, enum reason counted)
+{
+    if (state->policy.retries == SVC_RETRIES_CHAIN &&
+        bud_bucket_take(&r->bucket) < 0) {
+        return false;
+    }
+    state->budget--;
+    ctr_reason(counted);
+    return true;
+}
+
+/* Make another attempt, or answer. */
+static void
+rtr_after_failure(rtr *r, int handle, enum rty_end end, uint64_t owner,
+                  int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    rty_case c = {end,
+                  state->reason,
+                  state->idempotent,
+                  state->budget,
+                  state->reroutes,
+                  state->caller_gone ? 0 : state->deadline_us - now_us};
+    switch (rty_decide(&c)) {
+    case RTY_STOP:
+        break;
+    case RTY_REROUTE:
+    case RTY_OWNER:
+        if (state->reason == REASON_WRONG_OWNER && owner == 0) {
+            break;
+        }
+        state->reroutes++;
+        state->owner = state->reason == REASON_WRONG_OWNER ? owner : 0;
+        ctr_reason(REASON_RETRY_REROUTED);
+        rtr_pass_over(state);
+        if (state->idempotent) {
+            rtr_try(r, handle, now_us);
+            return;
+        }
+        state->phase = RTR_PAUSING;
+        state->wake_us = now_us;
+        if (state->reroutes > 1) {
+            state->wake_us += RTR_ASK_PAUSE_US;
+        }
+        return;
+    case RTY_SPEND:
+        if (rtr_spend(r, state,
+                      end == RTY_LOST ? REASON_RETRY_AFTER_UNKNOWN
+                                      : REASON_RETRY_AFTER_REFUSAL)) {
+            rtr_pass_over(state);
+            rtr_try(r, handle, now_us);
+            return;
+        }
+        break;
+    case RTY_ASK:
+        if (rtr_spend(r, state, REASON_RETRY_AFTER_UNKNOWN)) {
+            state->owner = state->instance;
+            state->phase = RTR_PAUSING;
+            state->wake_us = now_us + RTR_ASK_PAUSE_US;
+            return;
+        }
+        break;
+    }
+    rtr_finish(r, handle, state->reason, NULL, now_us);
+}
+
+static void
+rtr_not_sent(rtr *r, int handle, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    ins_instance *instance = ins_get(r->instances, state->instance, now_us);
+    instance->outstanding--;
+    instance->down_until_us = now_us + INS_DOWN_US;
+    ans_forget(r->answers, state->nonce);
+    ocm_set(&state->truth, state->attempt, OCM_NOT_SENT);
+    state->budget += state->lent;
+    state->lent = 0;
+    state->reason =
+        state->idempotent ? REASON_PEER_UNREACHABLE : REASON_OWNER_UNREACHABLE;
+    if (state->owner != 0) {
+        /* Nobody else may run it, so there is nowhere to reroute it to. */
+        rtr_finish(r, handle, state->reason, NULL, now_us);
+        return;
+    }
+    rtr_after_failure(r, handle, RTY_NOT_SENT, 0, now_us);
+}
+
+static void
+rtr_replied(rtr *r, int handle, msg_reply *reply, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    ins_instance *instance = ins_get(r->instances, state->instance, now_us);
+    ins_heard(instance, reply, now_us - state->sent_us, now_us);
+    lvl_note(r->levels, state->operation, state->instance, reply->level,
+             now_us);
+    state->budget += reply->budget < state->lent ? reply->budget : state->lent;
+    state->lent = 0;
+    state->reason = (enum reason)reply->reason;
+    switch ((enum outcome)reply->outcome) {
+    case OUTCOME_DONE:
+        ocm_set(&state->truth, state->attempt, OCM_DONE);
+        rtr_finish(r, handle, state->reason, reply, now_us);
+        return;
+    case OUTCOME_NOT_RUN:
+        ocm_set(&state->truth, state->attempt, OCM_REFUSED);
+        if (reply->settled) {
+            ocm_settle(&state->truth);
+        }
+        rtr_after_failure(r, handle, RTY_REFUSED, reply->owner, now_us);
+        return;
+    case OUTCOME_UNKNOWN:
+        ocm_set(&state->truth, state->attempt, OCM_LOST);
+        rtr_after_failure(r, handle, RTY_LOST, 0, now_us);
+        return;
+    }
+}
+
+static bool
+rtr_reply_whole(const rtr_call *state, const msg *reply)
+{
+    return reply->kind == MSG_REPLY && reply->reply.nonce == state->nonce &&
+           ans_checksum(reply->reply.body.bytes, reply->reply.body.length) ==
+               reply->reply.checksum;
+}
+
+/* An attempt is over: replied to, never sent, or lost. */
+void
+rtr_attempt_over(rtr *r, int handle, const rtr_event *event, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    if (event->result == PER_NOT_SENT) {
+        rtr_not_sent(r, handle, now_us);
+        return;
+    }
+    if (state->phase == RTR_WAITING) {
+        ins_get(r->instances, state->instance, now_us)->outstanding--;
+    }
+    if (event->result == PER_REPLY && rtr_reply_whole(state, event->reply)) {
+        ans_forget(r->answers, state->nonce);
+        rtr_replied(r, handle, &event->reply->reply, now_us);
+        return;
+    }
+    state->reason = REASON_REPLY_LOST;
+    if (event->result == PER_REPLY) {
+        ctr_reason(REASON_REPLY_MISMATCH);
+        state->reason = REASON_REPLY_MISMATCH;
+    }
+    state->lent = 0;
+    rtr_cancel(r, handle, now_us);
+}
+
+/* Ask the far node not to dispatch the present attempt, or to stop it. */
+void
+rtr_cancel(rtr *r, int handle, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    mbr_entry entry;
+    msg m = {.kind = MSG_CANCEL};
+    m.cancel.nonce = state->nonce;
+    ocm_set(&state->truth, state->attempt, OCM_LOST);
+    state->phase = RTR_CANCELLING;
+    state->wake_us = now_us + RTR_CANCEL_WAIT_US;
+    ctr_add(CTR_CANCELS, 1);
+    if (!rtr_find_member(&entry, r, state->instance) ||
+        per_send(r->cancels, entry.address, entry.control_port, &m,
+                 state->nonce, RTR_CANCEL_WAIT_US / CLK_US_PER_MS) < 0) {
+        state->wake_us = now_us;
+    }
+}
+
+/* A cancel is answered, or `event` is NULL and it is not. */
+void
+rtr_cancel_over(rtr *r, int handle, const rtr_event *event, int64_t now_us)
+{
+    rtr_call *state = &r->states[handle];
+    bool confirmed = event != NULL && event->result == PER_REPLY &&
+                     event->reply->kind == MSG_CANCELLED &&
+                     event->reply->cancelled.nonce == state->nonce &&
+                     event->reply->cancelled.result == DSP_CONFIRMED;
+    ans_forget(r->answers, state->nonce);
+    if (confirmed) {
+        ocm_set(&state->truth, state->attempt, OCM_CANCELLED);
+        if (state->reason == REASON_REPLY_TIMEOUT) {
+            state->reason = REASON_DEADLINE;
+        }
+    }
+    rtr_after_failure(r, handle, confirmed ? RTY_REFUSED : RTY_LOST, 0,
+                      now_us);
+}
--- /dev/null
+++ b/src/node/rtr_finish.c
@@ -0,0 +1,82 @@
+/* Answers: what is said to the caller, and the accounts that it closes. */
+#include <string.h>
+
+#include "inb.h"
+#include "lav/clk.h"
+#include "lav/ctr.h"
+#include "rtr_private.h"
+
+static void
+rtr_count(const cal_answer *answer)
+{
+    switch (answer->outcome) {
+    case OUTCOME_DONE:
+        ctr_add(CTR_DONE, 1);
+        break;
+    case OUTCOME_NOT_RUN:
+        ctr_add(CTR_NOT_RUN, 1);
+        break;
+    case OUTCOME_UNKNOWN:
+        ctr_add(CTR_UNKNOWN, 1);
+        break;
+    }
+    if (answer->reason != REASON_NONE) {
+        ctr_reason(answer->reason);
+    }
+}
+
+static void
+rtr_close_accounts(rtr *r, const cal_call *call, const rtr_call *state,
+                   enum outcome outcome, int64_t now_us)
+{
+    if (state->parent != 0) {
+        tok_call_end(r->node->tokens, state->parent, state->budget, now_us);
+    }
+    if (state->remembered) {
+        sen_answered(r->seen, call->request.text, state->budget,
+                     outcome == OUTCOME_NOT_RUN);
+    }
+    if (outcome == OUTCOME_DONE) {
+        bud_bucket_success(&r->bucket);
+    }
+}
+
+static void
+rtr_deactivate(rtr *r, int handle)
+{
+    r->states[handle].phase = RTR_IDLE;
+    for (size_t i = 0; i < r->active_count; i++) {
+        if (r->active[i] == handle) {
+            r->active[i] = r->active[--r->active_count];
+            return;
+        }
+    }
+}
+
+/* Answer a call.  `reply` is the target's answer where there is one, and
+ * its body is taken over. */
+void
+rtr_finish(rtr *r, int handle, enum reason reason, msg_reply *reply,
+           int64_t now_us)
+{
+    cal_call *call = cal_get(r->calls, handle);
+    rtr_call *state = &r->states[handle];
+    cal_answer *answer = &call->answer;
+    answer->outcome = ocm_verdict(&state->truth);
+    answer->reason = reason;
+    if (reply != NULL && answer->outcome == OUTCOME_DONE) {
+        answer->status = reply->status;
+        memcpy(answer->content_type, reply->content_type,
+               sizeof(answer->content_type));
+        answer->body = reply->body;
+        reply->body = (msg_body){0, NULL};
+    }
+    rtr_count(answer);
+    xpl_note(r->node->decisions, state->root.text, call->request.text,
+             "answered %s, reason %s, after %lld us and %zu attempts",
+             outcome_name(answer->outcome), reason_name(answer->reason),
+             (long long)(now_us - state->started_us), state->truth.count);
+    rtr_close_accounts(r, call, state, answer->outcome, now_us);
+    rtr_deactivate(r, handle);
+    inb_answer(r->node->inbound, handle);
+}
--- /dev/null
+++ b/src/node/srv.c
@@ -0,0 +1,184 @@
+#include "srv.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/rep.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lav/ctr.h"
+#include "lav/nst.h"
+
+#define SRV_URL_SIZE (NST_ADDRESS_SIZE + 16)
+
+enum srv_state {
+    SRV_RECEIVING,
+    SRV_SERVING,
+    SRV_ANSWERING
+};
+
+typedef struct srv_slot {
+    struct srv *owner;
+    enum srv_state state;
+    nng_ctx context;
+    nng_aio *aio;
+} srv_slot;
+
+struct srv {
+    nng_socket socket;
+    srv_cb callback;
+    void *payload;
+    size_t count;
+    srv_slot *slots;
+};
+
+static void
+srv_receive(srv_slot *slot)
+{
+    slot->state = SRV_RECEIVING;
+    nng_ctx_recv(slot->context, slot->aio);
+}
+
+/* A request that is not a message: answer with an empty cancel result. */
+static void
+srv_reject(srv_slot *slot)
+{
+    ctr_reason(REASON_BAD_MESSAGE);
+    msg answer = {.kind = MSG_CANCELLED};
+    slot->state = SRV_SERVING;
+    srv_answer(slot->owner, (int)(slot - slot->owner->slots), &answer);
+}
+
+static void
+srv_received(srv_slot *slot)
+{
+    nng_msg *raw = nng_aio_get_msg(slot->aio);
+    msg *request = calloc(1, sizeof(*request));
+    int result = ERR_NO_MEMORY;
+    if (request != NULL) {
+        result =
+            msg_decode(request, nng_msg_body(raw), nng_msg_len(raw), NULL);
+    }
+    nng_msg_free(raw);
+    if (result < 0) {
+        free(request);
+        srv_reject(slot);
+        return;
+    }
+    slot->state = SRV_SERVING;
+    srv *s = slot->owner;
+    s->callback((int)(slot - s->slots), request, s->payload);
+}
+
+/* Called by nng when a receive or a send of a slot is over. */
+static void
+srv_step(void *payload)
+{
+    srv_slot *slot = payload;
+    int result = nng_aio_result(slot->aio);
+    if (result == NNG_ECLOSED || result == NNG_ECANCELED) {
+        return; /* the server is being closed */
+    }
+    if (slot->state == SRV_RECEIVING && result == 0) {
+        srv_received(slot);
+        return;
+    }
+    if (slot->state == SRV_ANSWERING && result != 0) {
+        nng_msg_free(nng_aio_get_msg(slot->aio));
+    }
+    srv_receive(slot);
+}
+
+static int
+srv_listen(srv *s, const char *address, int64_t port, err *e)
+{
+    char url[SRV_URL_SIZE];
+    nng_listener listener;
+    snprintf(url, sizeof(url), "tcp://%s:%lld", address, (long long)port);
+    int failed = nng_listener_create(&listener, s->socket, url);
+    if (failed == 0) {
+        nng_listener_set_bool(listener, NNG_OPT_TCP_NODELAY, true);
+        failed = nng_listener_start(listener, 0);
+    }
+    if (failed != 0) {
+        return err_set(e, ERR_IO, "can't listen at %s: %s", url,
+                       nng_strerror(failed));
+    }
+    return 0;
+}
+
+/* Listen at an address and serve up to `slots` requests at a time. */
+int
+srv_new(srv **out, const char *address, int64_t port, size_t slots,
+        srv_cb callback, void *payload, err *e)
+{
+    srv *s = calloc(1, sizeof(*s));
+    if (s == NULL || nng_rep0_open(&s->socket) != 0) {
+        free(s);
+        return err_set(e, ERR_NO_MEMORY, "server");
+    }
+    s->callback = callback;
+    s->payload = payload;
+    s->slots = calloc(slots, sizeof(*s->slots));
+    if (s->slots == NULL) {
+        srv_free(s);
+        return err_set(e, ERR_NO_MEMORY, "server");
+    }
+    nng_socket_set_size(s->socket, NNG_OPT_RECVMAXSZ, MSG_SIZE_MAX);
+    for (; s->count < slots; s->count++) {
+        srv_slot *slot = &s->slots[s->count];
+        slot->owner = s;
+        if (nng_ctx_open(&slot->context, s->socket) != 0 ||
+            nng_aio_alloc(&slot->aio, srv_step, slot) != 0) {
+            srv_free(s);
+            return err_set(e, ERR_NO_MEMORY, "server");
+        }
+    }
+    int result = srv_listen(s, address, port, e);
+    if (result < 0) {
+        srv_free(s);
+        return result;
+    }
+    for (size_t i = 0; i < s->count; i++) {
+        srv_receive(&s->slots[i]);
+    }
+    *out = s;
+    return 0;
+}
+
+/* Close the server; requests in service get no answer.  Takes NULL. */
+void
+srv_free(srv *s)
+{
+    if (s == NULL) {
+        return;
+    }
+    nng_close(s->socket);
+    for (size_t i = 0; i < s->count; i++) {
+        nng_aio_stop(s->slots[i].aio);
+        nng_aio_free(s->slots[i].aio);
+    }
+    free(s->slots);
+    free(s);
+}
+
+/* Answer the request in a slot; the slot then takes the next request. */
+void
+srv_answer(srv *s, int index, const msg *answer)
+{
+    srv_slot *slot = &s->slots[index];
+    char *bytes = NULL;
+    size_t length = 0;
+    nng_msg *raw = NULL;
+    if (msg_encode(&bytes, &length, answer) == 0 &&
+        nng_msg_alloc(&raw, 0) == 0) {
+        nng_msg_append(raw, bytes, length);
+    }
+    free(bytes);
+    if (raw == NULL) {
+        srv_receive(slot); /* no memory: the caller's node sees a timeout */
+        return;
+    }
+    slot->state = SRV_ANSWERING;
+    nng_aio_set_msg(slot->aio, raw);
+    nng_ctx_send(slot->context, slot->aio);
+}
--- /dev/null
+++ b/src/node/sts.c
@@ -0,0 +1,131 @@
+#include "sts.h"
+
+#include <jansson.h>
+#include <sys/resource.h>
+
+#include "lav/clk.h"
+#include "lav/ctr.h"
+#include "lav/ver.h"
+
+static json_t *
+sts_counters(void)
+{
+    json_t *counters = json_object();
+    for (int i = 0; i < CTR_EVENT_COUNT; i++) {
+        json_object_set_new(counters, ctr_name((enum ctr_event)i),
+                            json_integer((json_int_t)ctr_value(i)));
+    }
+    return counters;
+}
+
+static json_t *
+sts_reasons(void)
+{
+    json_t *reasons = json_object();
+    for (int i = 0; i < REASON_COUNT; i++) {
+        uint64_t value = ctr_reason_value((enum reason)i);
+        if (value > 0) {
+            json_object_set_new(reasons, reason_name((enum reason)i),
+                                json_integer((json_int_t)value));
+        }
+    }
+    return reasons;
+}
+
+static json_t *
+sts_members(node *n)
+{
+    json_t *members = json_array();
+    view_read_begin();
+    const view_fleet *fleet = view_fleet_get(n->view);
+    for (size_t i = 0; i < fleet->count; i++) {
+        const mbr_entry *entry = &fleet->entries[i];
+        json_array_append_new(
+            members,
+            json_pack("{s:s,s:s,s:s,s:s,s:i,s:s}", "name", entry->name,
+                      "service", entry->service, "availability_zone",
+                      entry->zone, "address", entry->address, "callers_port",
+                      (int)entry->callers_port, "state",
+                      mbr_state_name(entry->state)));
+    }
+    view_read_end();
+    return members;
+}
+
+static uint64_t
+sts_config_version(node *n)
+{
+    view_read_begin();
+    uint64_t version = view_config_get(n->view)->version;
+    view_read_end();
+    return version;
+}
+
+static json_t *
+sts_load(node *n)
+{
+    const node_load *load = &n->load;
+    return json_pack(
+        "{s:i,s:i,s:i,s:i,s:i,s:b,s:b,s:b}", "callers",
+        atomic_load(&load->callers), "serving", atomic_load(&load->serving),
+        "limit", atomic_load(&load->limit), "slots", atomic_load(&load->slots),
+        "level", atomic_load(&load->level), "ready", atomic_load(&load->ready),
+        "draining", atomic_load(&load->draining), "stopping",
+        atomic_load(&load->stopping));
+}
+
+static json_t *
+sts_cost(void)
+{
+    struct rusage usage;
+    getrusage(RUSAGE_SELF, &usage);
+    json_int_t cpu_us =
+        (json_int_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) *
+            CLK_US_PER_S +
+        usage.ru_utime.tv_usec + usage.ru_stime.tv_usec;
+    return json_pack("{s:I,s:I}", "cpu_us", cpu_us, "peak_memory_kb",
+                     (json_int_t)usage.ru_maxrss);
+}
+
+/* The whole status as JSON text; free() after. */
+char *
+sts_status(node *n)
+{
+    view_thread_enter();
+    json_t *status = json_pack(
+        "{s:s,s:s,s:s,s:I,s:I,s:o,s:o,s:o,s:o,s:o}", "node", n->settings.name,
+        "service", n->settings.service, "availability_zone", n->settings.zone,
+        "incarnation", (json_int_t)n->incarnation, "config_version",
+        (json_int_t)sts_config_version(n), "load", sts_load(n), "cost",
+        sts_cost(), "counters", sts_counters(), "reasons", sts_reasons(),
+        "members", sts_members(n));
+    view_thread_leave();
+    char *text = json_dumps(status, JSON_COMPACT);
+    json_decref(status);
+    return text;
+}
+
+/* This node's decisions on a request, as JSON text; free() after. */
+char *
+sts_explain(node *n, const char *request)
+{
+    json_t *answer = json_pack("{s:s,s:o}", "node", n->settings.name,
+                               "decisions", xpl_find(n->decisions, request));
+    char *text = json_dumps(answer, JSON_COMPACT);
+    json_decref(answer);
+    return text;
+}
+
+/* Answer to the target's announcement: what still concerns it. */
+char *
+sts_target(node *n)
+{
+    json_t *answer = json_pack(
+        "{s:i,s:i,s:b,s:b,s:b}", "serving", atomic_load(&n->load.serving),
+        "callers", atomic_load(&n->load.callers), "draining",
+        atomic_load(&n->load.draining), "drained",
+        atomic_load(&n->load.drained), "ready", atomic_load(&n->load.ready));
+    char *text = json_dumps(answer, JSON_COMPACT);
+    json_decref(answer);
+    return text;
+}
--- /dev/null
+++ b/src/node/syn_owners.c
@@ -0,0 +1,223 @@
+#include "syn_owners.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "atr.h"
+#include "gsp.h"
+#include "lav/clk.h"
+#include "lav/log.h"
+#include "own.h"
+#include "syn.h"
+
+#define SYN_RETRY_US 200000      /* between two tries at the platform */
+#define SYN_UNSETTLED_US 3000000 /* members changed so lately */
+#define SYN_UNSETTLED_MS 2500    /* horizon while they do */
+#define SYN_RANK_MS 250          /* the n-th member waits n times so long */
+#define SYN_RENEW_PARTS 3        /* renew after a third of the horizon */
+
+/* What the fleet looks like to the keeper of the map. */
+typedef struct syn_fleet {
+    size_t count;
+    uint64_t members[AMO_MEMBERS_MAX]; /* ready ones, in rising order */
+    int rank;                          /* of this node, or -1 */
+    uint64_t mark;                     /* changes when a member leaves */
+} syn_fleet;
+
+/* Start without a map. */
+void
+syn_owners_init(syn_owners *o, node *n)
+{
+    *o = (syn_owners){.node = n};
+}
+
+static int
+syn_compare(const void *x, const void *y)
+{
+    uint64_t a = *(const uint64_t *)x;
+    uint64_t b = *(const uint64_t *)y;
+    return (a > b) - (a < b);
+}
+
+static void
+syn_look_at_fleet(syn_fleet *out, const node *n)
+{
+    *out = (syn_fleet){.rank = -1};
+    view_read_begin();
+    const view_fleet *fleet = view_fleet_get(n->view);
+    for (size_t i = 0; i < fleet->count; i++) {
+        const mbr_entry *entry = &fleet->entries[i];
+        if (strcmp(entry->service, n->settings.service) != 0) {
+            continue;
+        }
+        bool ready = entry->state == MBR_READY || entry->state == MBR_SUSPECT;
+        if (ready && out->count < AMO_MEMBERS_MAX) {
+            out->members[out->count++] = entry->incarnation;
+        }
+        if (entry->state == MBR_LEAVING) {
+            out->mark ^= entry->incarnation;
+        }
+    }
+    view_read_end();
+    qsort(out->members, out->count, sizeof(out->members[0]), syn_compare);
+    for (size_t i = 0; i < out->count; i++) {
+        if (out->members[i] == n->incarnation) {
+            out->rank = (int)i;
+        }
+    }
+}
+
+/* Horizon of the own service; 0 where it has nothing unrepeatable. */
+static int64_t
+syn_horizon_ms(const node *n)
+{
+    int64_t horizon_ms = 0;
+    view_read_begin();
+    const land *l = view_config_get(n->view)->landscape;
+    int own =
+        l == NULL ? LAND_NONE : land_service_find(l, n->settings.service);
+    if (own != LAND_NONE && land_service_has_unrepeatable(l, own)) {
+        horizon_ms = l->services[own]->policy.at_most_once_horizon_ms;
+    }
+    view_read_end();
+    return horizon_ms;
+}
+
+static void
+syn_key(char *out, size_t size, const node *n)
+{
+    snprintf(out, size, "%s%s", SYN_OWNERS_PREFIX, n->settings.service);
+}
+
+static void
+syn_adopt(syn_owners *o, const amo_map *map)
+{
+    if (map->version > o->map.version) {
+        o->map = *map;
+        atr_set_map(o->node->admitter, map);
+    }
+}
+
+/* Read the map; finding none is a success as well. */
+static int
+syn_read_map(syn_owners *o, plt *p)
+{
+    char key[SVC_NAME_SIZE + 16];
+    plt_object object;
+    amo_map map;
+    err e = ERR_INIT;
+    syn_key(key, sizeof(key), o->node);
+    int result = plt_get(&object, p, key, &e);
+    if (result == ERR_NOT_FOUND) {
+        o->read = true;
+        return 0;
+    }
+    if (result < 0) {
+        return result;
+    }
+    result = own_parse(&map, object.value, object.version, &e);
+    plt_object_clear(&object);
+    if (result < 0) {
+        log_write(LOG_ERROR, NULL, "owners: %s", e.message);
+        return result;
+    }
+    o->read = true;
+    syn_adopt(o, &map);
+    return 0;
+}
+
+/* Write a map made from the one last read.  It counts only once the
+ * platform says so; a lost answer is found out by the next reading. */
+static int
+syn_write_map(syn_owners *o, plt *p, amo_map *map)
+{
+    char key[SVC_NAME_SIZE + 16];
+    uint64_t version = 0;
+    err e = ERR_INIT;
+    char *text = own_format(map);
+    if (text == NULL) {
+        return ERR_NO_MEMORY;
+    }
+    syn_key(key, sizeof(key), o->node);
+    int result =
+        plt_put(&version, p, key, text, strlen(text), o->map.version, &e);
+    free(text);
+    if (result == 0) {
+        map->version = version;
+        syn_adopt(o, map);
+    }
+    return result;
+}
+
+static void
+syn_leave(syn_owners *o, plt *p, int64_t from_ms)
+{
+    if (syn_read_map(o, p) < 0) {
+        return;
+    }
+    amo_map map = o->map;
+    if (!amo_map_leave(&map, o->node->incarnation, from_ms) ||
+        syn_write_map(o, p, &map) == 0) {
+        o->left = true;
+    }
+}
+
+static bool
+syn_renewal_due(const syn_owners *o, const syn_fleet *fleet,
+                int64_t horizon_ms, int64_t now_ms)
+{
+    int64_t ahead_ms = o->map.horizon_ms - now_ms;
+    int64_t wait_ms = (int64_t)fleet->rank * SYN_RANK_MS;
+    int64_t limit_ms = horizon_ms - horizon_ms / SYN_RENEW_PARTS - wait_ms;
+    int64_t least_ms = SYN_UNSETTLED_MS / 2;
+    return ahead_ms < (limit_ms > least_ms ? limit_ms : least_ms);
+}
+
+static void
+syn_renew(syn_owners *o, plt *p, const syn_fleet *fleet, int64_t horizon_ms,
+          int64_t now_ms)
+{
+    if (syn_read_map(o, p) < 0 ||
+        !syn_renewal_due(o, fleet, horizon_ms, now_ms)) {
+        return;
+    }
+    amo_map map = o->map;
+    bool quiet =
+        gsp_quiet_us(o->node->gossip, clk_now_us()) > SYN_UNSETTLED_US;
+    int64_t ahead_ms = quiet ? horizon_ms : SYN_UNSETTLED_MS;
+    if (amo_map_extend(&map, fleet->members, fleet->count, now_ms, ahead_ms,
+                       o->node->settings.record_window_ms)) {
+        (void)syn_write_map(o, p, &map);
+    }
+}
+
+/* Do what is due now; called often, asks the platform rarely. */
+void
+syn_owners_step(syn_owners *o, plt *p, int64_t now_us, int64_t now_ms)
+{
+    syn_fleet fleet;
+    int64_t horizon_ms = syn_horizon_ms(o->node);
+    int64_t from_ms = atomic_load(&o->node->load.relinquished_ms);
+    if (horizon_ms == 0 || now_us - o->tried_us < SYN_RETRY_US) {
+        return;
+    }
+    syn_look_at_fleet(&fleet, o->node);
+    if (from_ms != 0 && !o->left) {
+        o->tried_us = now_us;
+        syn_leave(o, p, from_ms);
+        return;
+    }
+    o->left = from_ms != 0;
+    if (fleet.mark != o->fleet_mark || !o->read) {
+        o->tried_us = now_us;
+        if (syn_read_map(o, p) == 0) {
+            o->fleet_mark = fleet.mark;
+        }
+        return;
+    }
+    if (fleet.rank >= 0 && syn_renewal_due(o, &fleet, horizon_ms, now_ms)) {
+        o->tried_us = now_us;
+        syn_renew(o, p, &fleet, horizon_ms, now_ms);
+    }
+}
--- /dev/null
+++ b/src/tools/fleet.c
@@ -0,0 +1,115 @@
+#include "fleet.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "lav/clk.h"
+#include "lav/htc.h"
+#include "lav/plt.h"
+#include "syn.h"
+#include "syn_member.h"
+
+#define FLEET_STALE_MS 180000 /* an older object is no member */
+#define FLEET_TIMEOUT_S 2
+#define FLEET_ANSWER_MAX (4 * 1024 * 1024)
+
+static void
+fleet_add(fleet *out, const char *name, const char *address, int port)
+{
+    if (out->count == MBR_MAX) {
+        return;
+    }
+    fleet_node *node = &out->nodes[out->count++];
+    snprintf(node->name, sizeof(node->name), "%s", name);
+    snprintf(node->url, sizeof(node->url), "http://%s:%d", address, port);
+}
+
+static int
+fleet_listed(const char *key, uint64_t version, const char *value,
+             void *payload)
+{
+    (void)key;
+    (void)version;
+    mbr_entry entry;
+    int64_t refreshed_ms = 0;
+    if (syn_member_parse(&entry, &refreshed_ms, value) == 0 &&
+        clk_wall_ms() - refreshed_ms < FLEET_STALE_MS) {
+        fleet_add(payload, entry.name, entry.address, entry.callers_port);
+    }
+    return 0;
+}
+
+static int
+fleet_from_platform(fleet *out, const char *url, err *e)
+{
+    plt *platform = NULL;
+    int result = plt_new(&platform, url, e);
+    if (result == 0) {
+        result = plt_list(platform, SYN_MEMBER_PREFIX, fleet_listed, out, e);
+    }
+    plt_free(platform);
+    return result;
+}
+
+static int
+fleet_from_node(fleet *out, const char *url, err *e)
+{
+    fleet_node asked = {0};
+    size_t index;
+    json_t *member;
+    snprintf(asked.url, sizeof(asked.url), "%s", url);
+    json_t *status = fleet_ask(&asked, "/lav/status");
+    if (status == NULL) {
+        return err_set(e, ERR_UNAVAILABLE, "no answer of %s", url);
+    }
+    json_array_foreach(json_object_get(status, "members"), index, member)
+    {
+        const char *name = NULL;
+        const char *address = NULL;
+        const char *state = NULL;
+        int port = 0;
+        if (json_unpack(member, "{s:s,s:s,s:i,s:s}", "name", &name, "address",
+                        &address, "callers_port", &port, "state",
+                        &state) == 0 &&
+            strcmp(state, "dead") != 0) {
+            fleet_add(out, name, address, port);
+        }
+    }
+    json_decref(status);
+    return 0;
+}
+
+/* Find the nodes: by the platform's list, or by the view of one node where
+ * `node` (its callers' address, "http://...") is given. */
+int
+fleet_find(fleet *out, const char *platform, const char *node, err *e)
+{
+    out->count = 0;
+    if (node != NULL) {
+        return fleet_from_node(out, node, e);
+    }
+    return fleet_from_platform(out, platform, e);
+}
+
+/* Ask a node for a JSON document; NULL without an answer. */
+json_t *
+fleet_ask(const fleet_node *node, const char *path)
+{
+    htc *http = NULL;
+    htc_answer answer;
+    json_t *json = NULL;
+    htc_request request = {.method = "GET",
+                           .path = path,
+                           .may_resend = true,
+                           .timeout_s = FLEET_TIMEOUT_S,
+                           .answer_max = FLEET_ANSWER_MAX};
+    if (htc_new(&http, node->url, NULL) < 0) {
+        return NULL;
+    }
+    if (htc_exchange(&answer, http, &request, NULL) == 0) {
+        json = json_loads(answer.body, 0, NULL);
+    }
+    htc_answer_clear(&answer);
+    htc_free(http);
+    return json;
+}
--- /dev/null
+++ b/src/tools/fleet.h
@@ -0,0 +1,27 @@
+/*
+ * fleet: the nodes that an operator's program asks, found through the
+ * platform or through any one node.
+ */
+#ifndef LAV_TOOL_FLEET_H
+#define LAV_TOOL_FLEET_H
+
+#include <jansson.h>
+
+#include "lav/mbr.h"
+
+typedef struct fleet_node {
+    char name[SVC_NAME_SIZE];
+    char url[NST_URL_SIZE]; /* of the callers' side */
+} fleet_node;
+
+typedef struct fleet {
+    size_t count;
+    fleet_node nodes[MBR_MAX];
+} fleet;
+
+int
+fleet_find(fleet *out, const char *platform, const char *node, err *e);
+json_t *
+fleet_ask(const fleet_node *node, const char *path);
+
+#endif
--- /dev/null
+++ b/src/tools/lav_explain.c
@@ -0,0 +1,119 @@
+/* lav-explain: why a request was refused, retried or routed so. */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fleet.h"
+#include "lav/id.h"
+#include "tool.h"
+
+#define EXPLAIN_PATH_SIZE 128
+
+static char *explain_platform;
+static char *explain_node;
+static char **explain_ids;
+static gboolean explain_json;
+
+static const GOptionEntry explain_entries[] = {
+    {"platform", 0, 0, G_OPTION_ARG_STRING, &explain_platform,
+     "Find the nodes through the platform", "URL"},
+    {"node", 0, 0, G_OPTION_ARG_STRING, &explain_node,
+     "Find the nodes through one of them", "URL"},
+    {"json", 0, 0, G_OPTION_ARG_NONE, &explain_json, "Answer in JSON", NULL},
+    {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &explain_ids, "",
+     "REQUEST-ID"},
+    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
+
+/* Decisions of one node on a request, each with the node's name. */
+static void
+explain_collect(json_t *out, const fleet_node *node, const char *path)
+{
+    json_t *answer = fleet_ask(node, path);
+    size_t index;
+    json_t *decision;
+    json_array_foreach(json_object_get(answer, "decisions"), index, decision)
+    {
+        json_object_set_new(decision, "node", json_string(node->name));
+        json_array_append(out, decision);
+    }
+    json_decref(answer);
+}
+
+static int
+explain_compare(const void *x, const void *y)
+{
+    json_int_t a =
+        json_integer_value(json_object_get(*(json_t *const *)x, "ms"));
+    json_int_t b =
+        json_integer_value(json_object_get(*(json_t *const *)y, "ms"));
+    return (a > b) - (a < b);
+}
+
+static void
+explain_print(json_t *decisions)
+{
+    size_t count = json_array_size(decisions);
+    json_t **sorted = calloc(count + 1, sizeof(json_t *));
+    if (sorted == NULL) {
+        return;
+    }
+    for (size_t i = 0; i < count; i++) {
+        sorted[i] = json_array_get(decisions, i);
+    }
+    qsort(sorted, count, sizeof(json_t *), explain_compare);
+    for (size_t i = 0; i < count; i++) {
+        printf("%lld %-16s %-48s %s\n",
+               (long long)json_integer_value(json_object_get(sorted[i], "ms")),
+               json_string_value(json_object_get(sorted[i], "node")),
+               json_string_value(json_object_get(sorted[i], "request")),
+               json_string_value(json_object_get(sorted[i], "decision")));
+    }
+    free(sorted);
+}
+
+static json_t *
+explain_gather(const fleet *f, const char *request)
+{
+    char path[EXPLAIN_PATH_SIZE];
+    json_t *decisions = json_array();
+    snprintf(path, sizeof(path), "/lav/explain?id=%s", request);
+    for (size_t i = 0; i < f->count; i++) {
+        explain_collect(decisions, &f->nodes[i], path);
+    }
+    return decisions;
+}
+
+int
+main(int argc, char **argv)
+{
+    err e = ERR_INIT;
+    id request;
+    if (!tool_parse(&argc, &argv, explain_entries,
+                    "- what became of a request",
+                    "Exit status: 0 found, 1 no node remembers it, 2 bad "
+                    "arguments, 3 no answer.",
+                    "lav-explain") ||
+        (explain_platform == NULL && explain_node == NULL) ||
+        explain_ids == NULL || id_parse(&request, explain_ids[0]) < 0) {
+        fprintf(stderr, "lav-explain: name --platform or --node, and one "
+                        "request id\n");
+        return TOOL_USAGE;
+    }
+    fleet *f = calloc(1, sizeof(*f));
+    if (f == NULL || fleet_find(f, explain_platform, explain_node, &e) < 0) {
+        tool_print_error("lav-explain", &e);
+        free(f);
+        return TOOL_UNAVAILABLE;
+    }
+    json_t *decisions = explain_gather(f, request.text);
+    bool found = json_array_size(decisions) > 0;
+    if (explain_json) {
+        json_dumpf(decisions, stdout, JSON_INDENT(1));
+        printf("\n");
+    }
+    else {
+        explain_print(decisions);
+    }
+    json_decref(decisions);
+    free(f);
+    return found ? TOOL_OK : TOOL_INVALID;
+}
--- /dev/null
+++ b/src/tools/lav_publish.c
@@ -0,0 +1,161 @@
+/* lav-publish: puts service files in force and reports where they are. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "fleet.h"
+#include "lav/clk.h"
+#include "publisher.h"
+
+#define PUBLISH_WAIT_S 4
+#define PUBLISH_POLL_US 100000
+
+static char *publish_platform;
+static char *publish_expect;
+static int publish_wait_s = PUBLISH_WAIT_S;
+static gboolean publish_json;
+static char **publish_paths;
+
+static const GOptionEntry publish_entries[] = {
+    {"platform", 0, 0, G_OPTION_ARG_STRING, &publish_platform,
+     "The platform's object API", "URL"},
+    {"expect", 0, 0, G_OPTION_ARG_STRING, &publish_expect,
+     "Hash of the file that is replaced; else the one found now", "HASH"},
+    {"wait", 0, 0, G_OPTION_ARG_INT, &publish_wait_s,
+     "How long to wait for it to be in force everywhere", "SECONDS"},
+    {"json", 0, 0, G_OPTION_ARG_NONE, &publish_json, "Answer in JSON", NULL},
+    {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &publish_paths, "",
+     "FILE..."},
+    {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
+
+static const char publish_help[] =
+    "Exit status: 0 accepted and in force everywhere, 1 a file is not valid, "
+    "2 bad arguments, 3 the platform is out and nothing was changed, 4 "
+    "somebody else changed the same file, 5 the answer was lost and it can't "
+    "be told, 6 accepted but not yet in force everywhere.";
+
+static int
+publish_exit(int result)
+{
+    switch (result) {
+    case 0:
+        return TOOL_OK;
+    case ERR_CONFLICT:
+        return TOOL_CONFLICT;
+    case ERR_UNAVAILABLE:
+        return TOOL_UNAVAILABLE;
+    case ERR_UNKNOWN:
+        return TOOL_UNKNOWN;
+    default:
+        return TOOL_INVALID;
+    }
+}
+
+static bool
+publish_in_force(const fleet_node *node, uint64_t version)
+{
+    json_t *status = fleet_ask(node, "/lav/status");
+    json_int_t there =
+        json_integer_value(json_object_get(status, "config_version"));
+    json_decref(status);
+    return there >= (json_int_t)version;
+}
+
+/* Wait until every listed node has the version; returns how many have not
+ * and leaves them at the front of the list. */
+static size_t
+publish_wait(fleet *f, uint64_t version, int64_t *out_waited_us)
+{
+    int64_t start_us = clk_now_us();
+    size_t behind = f->count;
+    for (;;) {
+        size_t kept = 0;
+        for (size_t i = 0; i < behind; i++) {
+            if (!publish_in_force(&f->nodes[i], version)) {
+                f->nodes[kept++] = f->nodes[i];
+            }
+        }
+        behind = kept;
+        *out_waited_us = clk_now_us() - start_us;
+        if (behind == 0 ||
+            *out_waited_us >= (int64_t)publish_wait_s * CLK_US_PER_S) {
+            return behind;
+        }
+        clk_sleep_us(PUBLISH_POLL_US);
+    }
+}
+
+static int
+publish_report(uint64_t version, err *e)
+{
+    int64_t waited_us = 0;
+    fleet *f = calloc(1, sizeof(*f));
+    if (f == NULL || fleet_find(f, publish_platform, NULL, e) < 0) {
+        free(f);
+        printf("accepted as version %" PRIu64 "; the fleet can't be asked\n",
+               version);
+        return TOOL_NOT_YET;
+    }
+    size_t all = f->count;
+    size_t behind = publish_wait(f, version, &waited_us);
+    if (publish_json) {
+        printf("{\"version\": %" PRIu64 ", \"nodes\": %zu, \"behind\": %zu, "
+               "\"waited_ms\": %" PRId64 "}\n",
+               version, all, behind, waited_us / CLK_US_PER_MS);
+    }
+    else {
+        printf("accepted as version %" PRIu64 "; in force at %zu of %zu "
+               "nodes after %" PRId64 " ms\n",
+               version, all - behind, all, waited_us / CLK_US_PER_MS);
+        for (size_t i = 0; i < behind; i++) {
+            printf("not yet at %s\n", f->nodes[i].name);
+        }
+    }
+    free(f);
+    return behind == 0 ? TOOL_OK : TOOL_NOT_YET;
+}
+
+static int
+publish_run(const tool_file *files, size_t count, err *e)
+{
+    publisher_options options = PUBLISHER_OPTIONS_INIT;
+    plt *platform = NULL;
+    uint64_t version = 0;
+    options.expect = publish_expect;
+    int result = plt_new(&platform, publish_platform, e);
+    if (result == 0) {
+        result =
+            publisher_publish(&version, platform, files, count, &options, e);
+    }
+    plt_free(platform);
+    if (result < 0) {
+        tool_print_error("lav-publish", e);
+        return publish_exit(result);
+    }
+    return publish_report(version, e);
+}
+
+int
+main(int argc, char **argv)
+{
+    static tool_file files[TOOL_FILES_MAX];
+    size_t count = 0;
+    err e = ERR_INIT;
+    if (!tool_parse(&argc, &argv, publish_entries,
+                    "- put service files in force", publish_help,
+                    "lav-publish") ||
+        publish_platform == NULL || publish_paths == NULL) {
+        fprintf(stderr, "lav-publish: name --platform and the files\n");
+        return TOOL_USAGE;
+    }
+    int status = TOOL_INVALID;
+    if (tool_read_files(files, &count, publish_paths, &e) == 0) {
+        status = publish_run(files, count, &e);
+    }
+    else {
+        tool_print_error("lav-publish", &e);
+    }
+    tool_free_files(files, count);
+    g_strfreev(publish_paths);
+    return status;
+}
--- /dev/null
+++ b/tests/standin/sin.c
@@ -0,0 +1,238 @@
+#include "sin.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lav/clk.h"
+
+#define SIN_CONNECTIONS_MAX 2048
+#define SIN_STACK_SIZE (128 * 1024)
+#define SIN_WAIT_STEP_US 10000
+
+struct sin {
+    struct MHD_Daemon *daemon;
+    sin_cb callback;
+    void *payload;
+};
+
+typedef struct sin_state {
+    char path[SIN_PATH_SIZE];
+    bool begun;
+    size_t length;
+    size_t size;
+    char *body;
+} sin_state;
+
+static atomic_int sin_signalled;
+
+static void *
+sin_begin(void *payload, const char *uri, struct MHD_Connection *connection)
+{
+    (void)payload;
+    (void)connection;
+    sin_state *state = calloc(1, sizeof(*state));
+    if (state != NULL) {
+        snprintf(state->path, sizeof(state->path), "%s", uri);
+    }
+    return state;
+}
+
+static void
+sin_completed(void *payload, struct MHD_Connection *connection, void **slot,
+              enum MHD_RequestTerminationCode code)
+{
+    (void)payload;
+    (void)connection;
+    (void)code;
+    sin_state *state = *slot;
+    if (state != NULL) {
+        free(state->body);
+        free(state);
+        *slot = NULL;
+    }
+}
+
+static bool
+sin_collect(sin_state *state, const char *bytes, size_t length)
+{
+    if (state->length + length + 1 > state->size) {
+        state->size = 2 * (state->length + length + 1);
+        char *larger = realloc(state->body, state->size);
+        if (larger == NULL) {
+            return false;
+        }
+        state->body = larger;
+    }
+    memcpy(state->body + state->length, bytes, length);
+    state->length += length;
+    state->body[state->length] = '\0';
+    return true;
+}
+
+static enum MHD_Result
+sin_handle(void *payload, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload,
+           size_t *upload_size, void **slot)
+{
+    (void)version;
+    sin_server *s = payload;
+    sin_state *state = *slot;
+    if (state == NULL) {
+        return MHD_NO;
+    }
+    if (!state->begun) {
+        state->begun = true;
+        return MHD_YES;
+    }
+    if (*upload_size > 0) {
+        size_t length = *upload_size;
+        *upload_size = 0;
+        return sin_collect(state, upload, length) ? MHD_YES : MHD_NO;
+    }
+    sin_request request = {
+        connection, method,        "",
+        url,        state->length, state->body == NULL ? "" : state->body};
+    memcpy(request.path, state->path, sizeof(request.path));
+    return s->callback(&request, s->payload);
+}
+
+/* Serve on a loopback port. */
+int
+sin_new(sin_server **out, int port, sin_cb callback, void *payload, err *e)
+{
+    sin_server *s = calloc(1, sizeof(*s));
+    struct sockaddr_in bound = {.sin_family = AF_INET,
+                                .sin_port = htons((uint16_t)port)};
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (s == NULL) {
+        return err_set(e, ERR_NO_MEMORY, "server");
+    }
+    s->callback = callback;
+    s->payload = payload;
+    s->daemon = MHD_start_daemon(
+        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
+            MHD_USE_THREAD_PER_CONNECTION,
+        (uint16_t)port, NULL, NULL, sin_handle, s, MHD_OPTION_SOCK_ADDR,
+        &bound, MHD_OPTION_URI_LOG_CALLBACK, sin_begin, s,
+        MHD_OPTION_NOTIFY_COMPLETED, sin_completed, s,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)SIN_CONNECTIONS_MAX,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)SIN_STACK_SIZE, MHD_OPTION_END);
+    if (s->daemon == NULL) {
+        free(s);
+        return err_set(e, ERR_IO, "can't listen at port %d", port);
+    }
+    *out = s;
+    return 0;
+}
+
+/* Stop serving; takes NULL. */
+void
+sin_free(sin_server *s)
+{
+    if (s != NULL) {
+        MHD_stop_daemon(s->daemon);
+        free(s);
+    }
+}
+
+/* Answer with a text; `etag` may be NULL. */
+enum MHD_Result
+sin_text(const sin_request *request, unsigned status, const char *text,
+         const char *etag)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+    if (etag != NULL) {
+        MHD_add_response_header(response, "ETag", etag);
+    }
+    enum MHD_Result result =
+        MHD_queue_response(request->connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static ssize_t
+sin_cut_reader(void *payload, uint64_t position, char *out, size_t max)
+{
+    const char *text = payload;
+    size_t half = strlen(text) / 2;
+    if (position >= half) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    size_t length = half - position < max ? half - position : max;
+    memcpy(out, text + position, length);
+    return (ssize_t)length;
+}
+
+/* Answer with the first half of a text, then close the connection.  The
+ * text must stay valid. */
+enum MHD_Result
+sin_cut(const sin_request *request, const char *text)
+{
+    struct MHD_Response *response = MHD_create_response_from_callback(
+        strlen(text), strlen(text), sin_cut_reader, (void *)text, NULL);
+    enum MHD_Result result =
+        MHD_queue_response(request->connection, MHD_HTTP_OK, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+/* Value of a query argument, or NULL. */
+const char *
+sin_query(const sin_request *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection,
+                                       MHD_GET_ARGUMENT_KIND, name);
+}
+
+/* Number of a query argument, or `absent`. */
+int
+sin_query_int(const sin_request *request, const char *name, int absent)
+{
+    const char *text = sin_query(request, name);
+    return text == NULL ? absent : atoi(text);
+}
+
+/* Value of a header, or NULL. */
+const char *
+sin_header(const sin_request *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND,
+                                       name);
+}
+
+static void
+sin_note_signal(int number)
+{
+    (void)number;
+    atomic_store(&sin_signalled, 1);
+}
+
+/* Note SIGTERM and SIGINT, ignore SIGPIPE. */
+void
+sin_catch_signals(void)
+{
+    struct sigaction action = {.sa_handler = sin_note_signal};
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+/* Wait for a signal up to `timeout_ms` (0: for ever); 1 once it has come. */
+int
+sin_wait_for_signal(int timeout_ms)
+{
+    int64_t end_us = clk_now_us() + (int64_t)timeout_ms * CLK_US_PER_MS;
+    while (atomic_load(&sin_signalled) == 0) {
+        if (timeout_ms > 0 && clk_now_us() >= end_us) {
+            return 0;
+        }
+        clk_sleep_us(SIN_WAIT_STEP_US);
+    }
+    return 1;
+}
