--- a/include/lav/adm.h
+++ b/include/lav/adm.h
@@ -55,34 +55,20 @@
 
 typedef struct adm adm;
 
-int
-adm_new(adm **out, const svc_policy *policy);
-void
-adm_free(adm *a);
-void
-adm_set_policy(adm *a, const svc_policy *policy);
-void
-adm_set_slots(adm *a, int slots, bool cold, int64_t now_us);
-adm_verdict
-adm_arrive(adm *a, const adm_call *call, int64_t now_us);
-bool
-adm_next(int *out, adm *a, int64_t now_us);
-bool
-adm_expire(adm_refusal *out, adm *a, int64_t now_us);
-bool
-adm_remove(adm *a, int handle);
-void
-adm_finished(adm *a, int64_t own_us, int64_t now_us);
-int
-adm_level(const adm *a);
-int
-adm_limit_of(const adm *a);
-int
-adm_in_flight(const adm *a);
-int
-adm_queued(const adm *a);
-int
-adm_priority(int klass, int rank);
+int adm_new(adm **out, const svc_policy *policy);
+void adm_free(adm *a);
+void adm_set_policy(adm *a, const svc_policy *policy);
+void adm_set_slots(adm *a, int slots, bool cold, int64_t now_us);
+adm_verdict adm_arrive(adm *a, const adm_call *call, int64_t now_us);
+bool adm_next(int *out, adm *a, int64_t now_us);
+bool adm_expire(adm_refusal *out, adm *a, int64_t now_us);
+bool adm_remove(adm *a, int handle);
+void adm_finished(adm *a, int64_t own_us, int64_t now_us);
+int adm_level(const adm *a);
+int adm_limit_of(const adm *a);
+int adm_in_flight(const adm *a);
+int adm_queued(const adm *a);
+int adm_priority(int klass, int rank);
 
 #ifdef __cplusplus
 }
--- a/include/lav/amo.h
+++ b/include/lav/amo.h
@@ -77,41 +77,25 @@
 
 typedef struct amo amo;
 
-uint64_t
-amo_map_owner(const amo_map *map, const id *request);
-bool
-amo_map_extend(amo_map *map, const uint64_t *members, size_t count,
-               int64_t now_ms, int64_t ahead_ms, int64_t window_ms);
-bool
-amo_map_has(const amo_map *map, uint64_t member, int64_t from_ms);
-bool
-amo_map_leave(amo_map *map, uint64_t member, int64_t from_ms);
+uint64_t amo_map_owner(const amo_map *map, const id *request);
+bool amo_map_extend(amo_map *map, const uint64_t *members, size_t count,
+                    int64_t now_ms, int64_t ahead_ms, int64_t window_ms);
+bool amo_map_has(const amo_map *map, uint64_t member, int64_t from_ms);
+bool amo_map_leave(amo_map *map, uint64_t member, int64_t from_ms);
 
-int
-amo_new(amo **out, const amo_options *options);
-void
-amo_free(amo *a);
-void
-amo_set_map(amo *a, const amo_map *map);
-void
-amo_relinquish(amo *a, int64_t from_ms);
-enum amo_verdict
-amo_admit(amo *a, const id *request, int64_t now_ms);
-uint64_t
-amo_owner(const amo *a, const id *request);
-const amo_answer *
-amo_find_answer(amo *a, const id *request);
-void
-amo_dispatched(amo *a, const id *request);
-void
-amo_withdraw(amo *a, const id *request, bool for_good);
-void
-amo_unsent(amo *a, const id *request, bool for_good);
-void
-amo_lost(amo *a, const id *request);
-void
-amo_done(amo *a, const id *request, int status, const char *content_type,
-         const char *body, size_t length);
+int amo_new(amo **out, const amo_options *options);
+void amo_free(amo *a);
+void amo_set_map(amo *a, const amo_map *map);
+void amo_relinquish(amo *a, int64_t from_ms);
+enum amo_verdict amo_admit(amo *a, const id *request, int64_t now_ms);
+uint64_t amo_owner(const amo *a, const id *request);
+const amo_answer *amo_find_answer(amo *a, const id *request);
+void amo_dispatched(amo *a, const id *request);
+void amo_withdraw(amo *a, const id *request, bool for_good);
+void amo_unsent(amo *a, const id *request, bool for_good);
+void amo_lost(amo *a, const id *request);
+void amo_done(amo *a, const id *request, int status, const char *content_type,
+              const char *body, size_t length);
 
 #ifdef __cplusplus
 }
--- a/include/lav/ans.h
+++ b/include/lav/ans.h
@@ -19,22 +19,14 @@
 
 typedef struct ans ans;
 
-int
-ans_new(ans **out, size_t attempts_max);
-void
-ans_free(ans *a);
-int
-ans_expect(ans *a, uint64_t nonce, int call, int attempt);
-int
-ans_match(int *out_attempt, ans *a, uint64_t nonce);
-void
-ans_forget(ans *a, uint64_t nonce);
-void
-ans_forget_call(ans *a, int call);
-size_t
-ans_count(const ans *a);
-uint64_t
-ans_checksum(const char *body, size_t length);
+int ans_new(ans **out, size_t attempts_max);
+void ans_free(ans *a);
+int ans_expect(ans *a, uint64_t nonce, int call, int attempt);
+int ans_match(int *out_attempt, ans *a, uint64_t nonce);
+void ans_forget(ans *a, uint64_t nonce);
+void ans_forget_call(ans *a, int call);
+size_t ans_count(const ans *a);
+uint64_t ans_checksum(const char *body, size_t length);
 
 #ifdef __cplusplus
 }
--- a/include/lav/bud.h
+++ b/include/lav/bud.h
@@ -24,20 +24,14 @@
 
 typedef struct bud bud;
 
-int
-bud_new(bud **out, size_t ledgers_max);
-void
-bud_free(bud *b);
-int
-bud_open(bud *b, uint64_t token, int amount);
-int
-bud_take(bud *b, uint64_t token, int want);
-void
-bud_give_back(bud *b, uint64_t token, int amount);
-int
-bud_close(bud *b, uint64_t token);
-int
-bud_share(int left, int calls_to_come);
+int bud_new(bud **out, size_t ledgers_max);
+void bud_free(bud *b);
+int bud_open(bud *b, uint64_t token, int amount);
+int bud_left(bud *b, uint64_t token);
+int bud_take(bud *b, uint64_t token, int want);
+void bud_settle(bud *b, uint64_t token, int granted, int unused);
+int bud_close(bud *b, uint64_t token);
+int bud_share(int left, int calls_to_come);
 
 /* Token bucket that bounds what the ledgers can't see: new requests that
  * are in truth a caller's retries of old ones. */
@@ -45,10 +39,8 @@
     int tenths;
 } bud_bucket;
 
-void
-bud_bucket_success(bud_bucket *bucket);
-int
-bud_bucket_take(bud_bucket *bucket);
+void bud_bucket_success(bud_bucket *bucket);
+int bud_bucket_take(bud_bucket *bucket);
 
 #ifdef __cplusplus
 }
--- a/include/lav/cfg.h
+++ b/include/lav/cfg.h
@@ -39,19 +39,14 @@
 typedef int (*cfg_fetch_cb)(char **out, const char *hash, err *e,
                             void *payload);
 
-void
-cfg_hash(char out[CFG_HASH_SIZE], const char *text);
-int
-cfg_head_parse(cfg_head *out, const char *text, err *e);
-char *
-cfg_head_format(const cfg_head *head);
-cfg_file *
-cfg_head_find(cfg_head *head, const char *service);
-int
-cfg_head_set(cfg_head *head, const char *service, const char *hash, err *e);
-int
-cfg_load(land **out, const cfg_head *head, cfg_fetch_cb fetch, void *payload,
-         err *e);
+void cfg_hash(char out[CFG_HASH_SIZE], const char *text);
+int cfg_head_parse(cfg_head *out, const char *text, err *e);
+char *cfg_head_format(const cfg_head *head);
+cfg_file *cfg_head_find(cfg_head *head, const char *service);
+int cfg_head_set(cfg_head *head, const char *service, const char *hash,
+                 err *e);
+int cfg_load(land **out, const cfg_head *head, cfg_fetch_cb fetch,
+             void *payload, err *e);
 
 #ifdef __cplusplus
 }
--- a/include/lav/clk.h
+++ b/include/lav/clk.h
@@ -16,18 +16,12 @@
 #define CLK_US_PER_S 1000000
 #define CLK_MS_PER_S 1000
 
-int64_t
-clk_now_us(void);
-int64_t
-clk_wall_ms(void);
-void
-clk_pause(int64_t now_us, int64_t wall_ms);
-void
-clk_advance_us(int64_t delta_us);
-void
-clk_resume(void);
-void
-clk_sleep_us(int64_t duration_us);
+int64_t clk_now_us(void);
+int64_t clk_wall_ms(void);
+void clk_pause(int64_t now_us, int64_t wall_ms);
+void clk_advance_us(int64_t delta_us);
+void clk_resume(void);
+void clk_sleep_us(int64_t duration_us);
 
 #ifdef __cplusplus
 }
--- a/include/lav/ctr.h
+++ b/include/lav/ctr.h
@@ -30,16 +30,11 @@
     CTR_EVENT_COUNT
 };
 
-void
-ctr_reason(enum reason reason);
-void
-ctr_add(enum ctr_event event, uint64_t amount);
-uint64_t
-ctr_reason_value(enum reason reason);
-uint64_t
-ctr_value(enum ctr_event event);
-const char *
-ctr_name(enum ctr_event event);
+void ctr_reason(enum reason reason);
+void ctr_add(enum ctr_event event, uint64_t amount);
+uint64_t ctr_reason_value(enum reason reason);
+uint64_t ctr_value(enum ctr_event event);
+const char *ctr_name(enum ctr_event event);
 
 #ifdef __cplusplus
 }
--- a/include/lav/ctx.h
+++ b/include/lav/ctx.h
@@ -32,10 +32,8 @@
     bool first;      /* no earlier attempt of this request was made */
 } ctx;
 
-void
-ctx_format(char out[CTX_TEXT_SIZE], const ctx *c);
-int
-ctx_parse(ctx *out, const char *text);
+void ctx_format(char out[CTX_TEXT_SIZE], const ctx *c);
+int ctx_parse(ctx *out, const char *text);
 
 #ifdef __cplusplus
 }
--- a/include/lav/dsp.h
+++ b/include/lav/dsp.h
@@ -34,20 +34,14 @@
 
 typedef struct dsp dsp;
 
-int
-dsp_new(dsp **out, size_t attempts_max);
-void
-dsp_free(dsp *d);
-enum dsp_arrival
-dsp_arrive(dsp *d, uint64_t nonce, int64_t age_ms, int64_t now_us);
-int
-dsp_dispatch(dsp *d, uint64_t nonce);
-void
-dsp_refuse(dsp *d, uint64_t nonce);
-enum dsp_cancel
-dsp_cancel(dsp *d, uint64_t nonce, int64_t now_us);
-void
-dsp_expire(dsp *d, int64_t now_us);
+int dsp_new(dsp **out, size_t attempts_max);
+void dsp_free(dsp *d);
+enum dsp_arrival dsp_arrive(dsp *d, uint64_t nonce, int64_t age_ms,
+                            int64_t now_us);
+int dsp_dispatch(dsp *d, uint64_t nonce);
+void dsp_refuse(dsp *d, uint64_t nonce);
+enum dsp_cancel dsp_cancel(dsp *d, uint64_t nonce, int64_t now_us);
+void dsp_expire(dsp *d, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/include/lav/err.h
+++ b/include/lav/err.h
@@ -37,14 +37,11 @@
         0, "", 0, ""                                                          \
     }
 
-int
-err_set(err *e, int code, const char *format, ...)
+int err_set(err *e, int code, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
-int
-err_set_at(err *e, int code, const char *where, int line, const char *format,
-           ...) __attribute__((format(printf, 5, 6)));
-const char *
-err_code_name(int code);
+int err_set_at(err *e, int code, const char *where, int line,
+               const char *format, ...) __attribute__((format(printf, 5, 6)));
+const char *err_code_name(int code);
 
 #ifdef __cplusplus
 }
--- a/include/lav/htc.h
+++ b/include/lav/htc.h
@@ -51,14 +51,10 @@
     char request[HTC_TEXT_SIZE]; /* header Lav-Request-Id */
 } htc_answer;
 
-int
-htc_new(htc **out, const char *url, err *e);
-void
-htc_free(htc *h);
-int
-htc_exchange(htc_answer *out, htc *h, const htc_request *request, err *e);
-void
-htc_answer_clear(htc_answer *answer);
+int htc_new(htc **out, const char *url, err *e);
+void htc_free(htc *h);
+int htc_exchange(htc_answer *out, htc *h, const htc_request *request, err *e);
+void htc_answer_clear(htc_answer *answer);
 
 #ifdef __cplusplus
 }
--- a/include/lav/id.h
+++ b/include/lav/id.h
@@ -25,18 +25,13 @@
     char text[ID_SIZE];
 } id;
 
-int
-id_parse(id *out, const char *text);
-void
-id_mint(id *out, int64_t wall_ms);
-void
-id_derive(id *out, const id *root, const char *operation, const char *key);
-uint64_t
-id_hash(const char *text);
-int
-id_rank(const char *root_text);
-uint64_t
-id_random(void);
+int id_parse(id *out, const char *text);
+void id_mint(id *out, int64_t wall_ms);
+void id_derive(id *out, const id *root, const char *operation,
+               const char *key);
+uint64_t id_hash(const char *text);
+int id_rank(const char *root_text);
+uint64_t id_random(void);
 
 #ifdef __cplusplus
 }
--- a/include/lav/land.h
+++ b/include/lav/land.h
@@ -33,22 +33,14 @@
     land_operation *operations;
 } land;
 
-int
-land_new(land **out, svc_file **files, size_t count, err *e);
-void
-land_free(land *l);
-int
-land_service_find(const land *l, const char *service);
-land_op
-land_find(const land *l, const char *service, const char *operation);
-land_op
-land_find_dotted(const land *l, const char *name);
-const svc_policy *
-land_policy(const land *l, land_op op);
-bool
-land_may_call(const land *l, land_op from, land_op to);
-bool
-land_service_has_unrepeatable(const land *l, int service);
+int land_new(land **out, svc_file **files, size_t count, err *e);
+void land_free(land *l);
+int land_service_find(const land *l, const char *service);
+land_op land_find(const land *l, const char *service, const char *operation);
+land_op land_find_dotted(const land *l, const char *name);
+const svc_policy *land_policy(const land *l, land_op op);
+bool land_may_call(const land *l, land_op from, land_op to);
+bool land_service_has_unrepeatable(const land *l, int service);
 
 #ifdef __cplusplus
 }
--- a/include/lav/log.h
+++ b/include/lav/log.h
@@ -16,13 +16,10 @@
     LOG_ERROR
 };
 
-void
-log_setup(const char *process_name, enum log_level lowest);
-int
-log_level_parse(enum log_level *out, const char *name);
-void
-log_write(enum log_level level, const char *request_id, const char *format,
-          ...) __attribute__((format(printf, 3, 4)));
+void log_setup(const char *process_name, enum log_level lowest);
+int log_level_parse(enum log_level *out, const char *name);
+void log_write(enum log_level level, const char *request_id,
+               const char *format, ...) __attribute__((format(printf, 3, 4)));
 
 #ifdef __cplusplus
 }
--- a/include/lav/lvl.h
+++ b/include/lav/lvl.h
@@ -21,18 +21,13 @@
 
 typedef struct lvl lvl;
 
-int
-lvl_new(lvl **out, size_t entries_max);
-void
-lvl_free(lvl *l);
-void
-lvl_note(lvl *l, const char *operation, uint64_t instance, int level,
-         int64_t now_us);
-int
-lvl_instance(const lvl *l, const char *operation, uint64_t instance,
-             int64_t now_us);
-void
-lvl_forget_instance(lvl *l, uint64_t instance);
+int lvl_new(lvl **out, size_t entries_max);
+void lvl_free(lvl *l);
+void lvl_note(lvl *l, const char *operation, uint64_t instance, int level,
+              int64_t now_us);
+int lvl_instance(const lvl *l, const char *operation, uint64_t instance,
+                 int64_t now_us);
+void lvl_forget_instance(lvl *l, uint64_t instance);
 
 #ifdef __cplusplus
 }
--- a/include/lav/mbr.h
+++ b/include/lav/mbr.h
@@ -49,35 +49,21 @@
 
 typedef struct mbr mbr;
 
-int
-mbr_new(mbr **out, const mbr_entry *self);
-void
-mbr_free(mbr *m);
-uint64_t
-mbr_incarnation(int64_t wall_ms);
-bool
-mbr_merge(mbr *m, const mbr_entry *news, int64_t now_us);
-bool
-mbr_set_self(mbr *m, enum mbr_state state);
-const mbr_entry *
-mbr_self(const mbr *m);
-int
-mbr_probe_pick(mbr *m);
-void
-mbr_probe_failed(mbr *m, const char *name, uint64_t incarnation,
-                 int64_t now_us);
-bool
-mbr_tick(mbr *m, int64_t now_us);
-size_t
-mbr_news(mbr_entry *out, mbr *m, size_t max);
-bool
-mbr_news_of_accused(mbr_entry *out, mbr *m, const char *name);
-size_t
-mbr_count(const mbr *m);
-const mbr_entry *
-mbr_get(const mbr *m, size_t index);
-const char *
-mbr_state_name(enum mbr_state state);
+int mbr_new(mbr **out, const mbr_entry *self);
+void mbr_free(mbr *m);
+uint64_t mbr_incarnation(int64_t wall_ms);
+bool mbr_merge(mbr *m, const mbr_entry *news, int64_t now_us);
+bool mbr_set_self(mbr *m, enum mbr_state state);
+const mbr_entry *mbr_self(const mbr *m);
+int mbr_probe_pick(mbr *m);
+void mbr_probe_failed(mbr *m, const char *name, uint64_t incarnation,
+                      int64_t now_us);
+bool mbr_tick(mbr *m, int64_t now_us);
+size_t mbr_news(mbr_entry *out, mbr *m, size_t max);
+bool mbr_news_of_accused(mbr_entry *out, mbr *m, const char *name);
+size_t mbr_count(const mbr *m);
+const mbr_entry *mbr_get(const mbr *m, size_t index);
+const char *mbr_state_name(enum mbr_state state);
 
 #ifdef __cplusplus
 }
--- a/include/lav/msg.h
+++ b/include/lav/msg.h
@@ -116,14 +116,10 @@
     };
 } msg;
 
-int
-msg_encode(char **out, size_t *out_length, const msg *m);
-int
-msg_decode(msg *out, const char *bytes, size_t length, err *e);
-void
-msg_clear(msg *m);
-int
-msg_body_copy(msg_body *out, const char *bytes, size_t length);
+int msg_encode(char **out, size_t *out_length, const msg *m);
+int msg_decode(msg *out, const char *bytes, size_t length, err *e);
+void msg_clear(msg *m);
+int msg_body_copy(msg_body *out, const char *bytes, size_t length);
 
 #ifdef __cplusplus
 }
--- a/include/lav/nst.h
+++ b/include/lav/nst.h
@@ -38,12 +38,9 @@
     int64_t record_window_ms;
 } nst;
 
-int
-nst_parse(nst *out, const char *text, const char *path, err *e);
-int
-nst_load(nst *out, const char *path, err *e);
-int
-nst_read_file(char **out, const char *path, size_t size_max, err *e);
+int nst_parse(nst *out, const char *text, const char *path, err *e);
+int nst_load(nst *out, const char *path, err *e);
+int nst_read_file(char **out, const char *path, size_t size_max, err *e);
 
 #ifdef __cplusplus
 }
--- a/include/lav/ocm.h
+++ b/include/lav/ocm.h
@@ -35,16 +35,11 @@
     enum ocm_attempt attempts[OCM_ATTEMPTS_MAX];
 } ocm;
 
-void
-ocm_init(ocm *o, bool first);
-int
-ocm_begin(ocm *o);
-void
-ocm_set(ocm *o, int attempt, enum ocm_attempt state);
-void
-ocm_settle(ocm *o);
-enum outcome
-ocm_verdict(const ocm *o);
+void ocm_init(ocm *o, bool first);
+int ocm_begin(ocm *o);
+void ocm_set(ocm *o, int attempt, enum ocm_attempt state);
+void ocm_settle(ocm *o);
+enum outcome ocm_verdict(const ocm *o);
 
 #ifdef __cplusplus
 }
--- a/include/lav/plt.h
+++ b/include/lav/plt.h
@@ -36,25 +36,17 @@
 typedef int (*plt_list_cb)(const char *key, uint64_t version,
                            const char *value, void *payload);
 
-int
-plt_new(plt **out, const char *url, err *e);
-void
-plt_free(plt *p);
-int
-plt_get(plt_object *out, plt *p, const char *key, err *e);
-int
-plt_watch(plt_object *out, plt *p, const char *key, uint64_t after,
-          int64_t wait_ms, err *e);
-int
-plt_put(uint64_t *out_version, plt *p, const char *key, const char *value,
-        size_t length, uint64_t expected, err *e);
-int
-plt_delete(plt *p, const char *key, uint64_t version, err *e);
-int
-plt_list(plt *p, const char *prefix, plt_list_cb callback, void *payload,
-         err *e);
-void
-plt_object_clear(plt_object *object);
+int plt_new(plt **out, const char *url, err *e);
+void plt_free(plt *p);
+int plt_get(plt_object *out, plt *p, const char *key, err *e);
+int plt_watch(plt_object *out, plt *p, const char *key, uint64_t after,
+              int64_t wait_ms, err *e);
+int plt_put(uint64_t *out_version, plt *p, const char *key, const char *value,
+            size_t length, uint64_t expected, err *e);
+int plt_delete(plt *p, const char *key, uint64_t version, err *e);
+int plt_list(plt *p, const char *prefix, plt_list_cb callback, void *payload,
+             err *e);
+void plt_object_clear(plt_object *object);
 
 #ifdef __cplusplus
 }
--- a/include/lav/reason.h
+++ b/include/lav/reason.h
@@ -67,10 +67,8 @@
 };
 #undef REASON_ENUM
 
-const char *
-reason_name(enum reason reason);
-const char *
-outcome_name(enum outcome outcome);
+const char *reason_name(enum reason reason);
+const char *outcome_name(enum outcome outcome);
 
 #ifdef __cplusplus
 }
--- a/include/lav/ring.h
+++ b/include/lav/ring.h
@@ -15,18 +15,12 @@
 
 typedef struct ring ring;
 
-int
-ring_new(ring **out, size_t item_size, size_t capacity);
-void
-ring_free(ring *r);
-int
-ring_push(ring *r, const void *item);
-bool
-ring_pop(void *item, ring *r, int64_t wait_us);
-void
-ring_close(ring *r);
-size_t
-ring_count(ring *r);
+int ring_new(ring **out, size_t item_size, size_t capacity);
+void ring_free(ring *r);
+int ring_push(ring *r, const void *item);
+bool ring_pop(void *item, ring *r, int64_t wait_us);
+void ring_close(ring *r);
+size_t ring_count(ring *r);
 
 #ifdef __cplusplus
 }
--- a/include/lav/rte.h
+++ b/include/lav/rte.h
@@ -26,13 +26,11 @@
     int load_permille; /* in flight and queued of its limit, last heard */
 } rte_candidate;
 
-int
-rte_pick(const rte_candidate *candidates, size_t count, int priority,
-         uint64_t random);
-int
-rte_owner(const rte_candidate *candidates, size_t count, uint64_t hash);
-bool
-rte_refused_early(const rte_candidate *candidates, size_t count, int priority);
+int rte_pick(const rte_candidate *candidates, size_t count, int priority,
+             uint64_t random);
+int rte_owner(const rte_candidate *candidates, size_t count, uint64_t hash);
+bool rte_refused_early(const rte_candidate *candidates, size_t count,
+                       int priority);
 
 #ifdef __cplusplus
 }
--- a/include/lav/rty.h
+++ b/include/lav/rty.h
@@ -42,8 +42,7 @@
     int64_t left_us;
 } rty_case;
 
-enum rty_action
-rty_decide(const rty_case *c);
+enum rty_action rty_decide(const rty_case *c);
 
 #ifdef __cplusplus
 }
--- a/include/lav/sen.h
+++ b/include/lav/sen.h
@@ -24,14 +24,10 @@
 
 typedef struct sen sen;
 
-int
-sen_new(sen **out, size_t requests_max);
-void
-sen_free(sen *s);
-sen_seen
-sen_arrive(sen *s, const char *request, int budget, int64_t now_us);
-void
-sen_answered(sen *s, const char *request, int budget_left, bool not_run);
+int sen_new(sen **out, size_t requests_max);
+void sen_free(sen *s);
+sen_seen sen_arrive(sen *s, const char *request, int budget, int64_t now_us);
+void sen_answered(sen *s, const char *request, int budget_left, bool not_run);
 
 #ifdef __cplusplus
 }
--- a/include/lav/stp.h
+++ b/include/lav/stp.h
@@ -29,14 +29,10 @@
     int64_t linger_us;
 } stp;
 
-void
-stp_init(stp *s, int64_t linger_us);
-void
-stp_request(stp *s, int64_t now_us);
-enum stp_phase
-stp_step(stp *s, int in_flight, int64_t now_us);
-bool
-stp_takes_callers(const stp *s);
+void stp_init(stp *s, int64_t linger_us);
+void stp_request(stp *s, int64_t now_us);
+enum stp_phase stp_step(stp *s, int in_flight, int64_t now_us);
+bool stp_takes_callers(const stp *s);
 
 #ifdef __cplusplus
 }
--- a/include/lav/svc.h
+++ b/include/lav/svc.h
@@ -74,14 +74,11 @@
     svc_operation operations[SVC_OPERATIONS_MAX];
 } svc_file;
 
-int
-svc_parse(svc_file **out, const char *text, const char *path, err *e);
-void
-svc_free(svc_file *file);
-const svc_operation *
-svc_operation_find(const svc_file *file, const char *name);
-const char *
-svc_class_name(int klass);
+int svc_parse(svc_file **out, const char *text, const char *path, err *e);
+void svc_free(svc_file *file);
+const svc_operation *svc_operation_find(const svc_file *file,
+                                        const char *name);
+const char *svc_class_name(int klass);
 
 #ifdef __cplusplus
 }
--- a/include/lav/tml.h
+++ b/include/lav/tml.h
@@ -48,20 +48,14 @@
 /* Called for each sub-table; stop by returning a negative code. */
 typedef int (*tml_each_cb)(const char *name, int line, err *e, void *payload);
 
-int
-tml_open(tml_doc **out, const char *text, const char *path, err *e);
-void
-tml_free(tml_doc *doc);
-int
-tml_only(tml_doc *doc, const char *const *tables, err *e);
-int
-tml_read(void *out, tml_doc *doc, const char *table, const tml_field *fields,
-         size_t count, err *e);
-int
-tml_each(tml_doc *doc, const char *table, tml_each_cb callback, err *e,
-         void *payload);
-int
-tml_line(tml_doc *doc, const char *table, const char *key);
+int tml_open(tml_doc **out, const char *text, const char *path, err *e);
+void tml_free(tml_doc *doc);
+int tml_only(tml_doc *doc, const char *const *tables, err *e);
+int tml_read(void *out, tml_doc *doc, const char *table,
+             const tml_field *fields, size_t count, err *e);
+int tml_each(tml_doc *doc, const char *table, tml_each_cb callback, err *e,
+             void *payload);
+int tml_line(tml_doc *doc, const char *table, const char *key);
 
 #ifdef __cplusplus
 }
--- a/include/lav/ver.h
+++ b/include/lav/ver.h
@@ -20,12 +20,9 @@
     uint64_t heard;    /* highest version that anyone has named */
 } ver;
 
-bool
-ver_hear(ver *v, uint64_t version);
-bool
-ver_apply(ver *v, uint64_t version);
-bool
-ver_behind(const ver *v);
+bool ver_hear(ver *v, uint64_t version);
+bool ver_apply(ver *v, uint64_t version);
+bool ver_behind(const ver *v);
 
 #ifdef __cplusplus
 }
--- a/lab/dep.h
+++ b/lab/dep.h
@@ -28,11 +28,8 @@
     dep_service services[DEP_SERVICES_MAX];
 } dep;
 
-int
-dep_load(dep *out, const char *path, err *e);
-void
-dep_scale(dep *d, double slots, double instances);
-int
-dep_time_ms(const dep_service *service, const char *operation);
+int dep_load(dep *out, const char *path, err *e);
+void dep_scale(dep *d, double slots, double instances);
+int dep_time_ms(const dep_service *service, const char *operation);
 
 #endif
--- a/lab/exl.h
+++ b/lab/exl.h
@@ -17,11 +17,8 @@
     char example[ID_SIZE]; /* an id of a broken promise, or empty */
 } exl_verdict;
 
-int
-exl_check(exl_verdict *out, const fld *f, const lod *l, err *e);
-int
-exl_count_runs(const fld *f, const char *operation);
-int
-exl_count_id(const fld *f, const char *request);
+int exl_check(exl_verdict *out, const fld *f, const lod *l, err *e);
+int exl_count_runs(const fld *f, const char *operation);
+int exl_count_id(const fld *f, const char *request);
 
 #endif
--- a/lab/fld.h
+++ b/lab/fld.h
@@ -43,35 +43,21 @@
     fld_instance instances[FLD_INSTANCES_MAX];
 } fld;
 
-int
-fld_init(fld *f, const char *programs, const dep *deployment, err *e);
-int
-fld_start(fld *f, err *e);
-int
-fld_start_platform(fld *f, err *e);
-int
-fld_start_node(fld *f, fld_instance *instance, err *e);
-int
-fld_start_target(fld *f, fld_instance *instance, err *e);
-int
-fld_publish(fld *f, err *e);
-int
-fld_wait_ready(fld *f, int timeout_ms, err *e);
-void
-fld_stop(fld *f);
-int
-fld_leftover(const fld *f);
-fld_instance *
-fld_find(fld *f, const char *service, int index);
-int
-fld_admin(int port, const char *query);
-char *
-fld_get(int port, const char *path);
-int64_t
-fld_status_int(const fld_instance *instance, const char *group,
-               const char *key);
-void
-fld_log_path(char *out, size_t size, const fld *f,
-             const fld_instance *instance);
+int fld_init(fld *f, const char *programs, const dep *deployment, err *e);
+int fld_start(fld *f, err *e);
+int fld_start_platform(fld *f, err *e);
+int fld_start_node(fld *f, fld_instance *instance, err *e);
+int fld_start_target(fld *f, fld_instance *instance, err *e);
+int fld_publish(fld *f, err *e);
+int fld_wait_ready(fld *f, int timeout_ms, err *e);
+void fld_stop(fld *f);
+int fld_leftover(const fld *f);
+fld_instance *fld_find(fld *f, const char *service, int index);
+int fld_admin(int port, const char *query);
+char *fld_get(int port, const char *path);
+int64_t fld_status_int(const fld_instance *instance, const char *group,
+                       const char *key);
+void fld_log_path(char *out, size_t size, const fld *f,
+                  const fld_instance *instance);
 
 #endif
--- a/lab/lod.h
+++ b/lab/lod.h
@@ -75,17 +75,11 @@
     struct lod_run *run;   /* while it runs */
 } lod;
 
-int
-lod_new(lod **out, const fld *field, const lod_options *options, err *e);
-void
-lod_free(lod *l);
-int
-lod_begin(lod *l, err *e);
-void
-lod_finish(lod *l);
-const lod_answer *
-lod_final(const lod_request *request);
-const char *
-lod_outcome_text(enum lod_outcome outcome);
+int lod_new(lod **out, const fld *field, const lod_options *options, err *e);
+void lod_free(lod *l);
+int lod_begin(lod *l, err *e);
+void lod_finish(lod *l);
+const lod_answer *lod_final(const lod_request *request);
+const char *lod_outcome_text(enum lod_outcome outcome);
 
 #endif
--- a/lab/prc.h
+++ b/lab/prc.h
@@ -11,15 +11,10 @@
 
 #define PRC_NONE 0 /* no process */
 
-int
-prc_start(pid_t *out, char *const argv[], const char *log_path, err *e);
-void
-prc_signal(pid_t pid, int signal_number);
-int
-prc_wait(pid_t *pid, int timeout_ms);
-void
-prc_kill(pid_t *pid);
-int
-prc_free_port(void);
+int prc_start(pid_t *out, char *const argv[], const char *log_path, err *e);
+void prc_signal(pid_t pid, int signal_number);
+int prc_wait(pid_t *pid, int timeout_ms);
+void prc_kill(pid_t *pid);
+int prc_free_port(void);
 
 #endif
--- a/lab/scn.h
+++ b/lab/scn.h
@@ -46,7 +46,6 @@
     scn_variant variants[SCN_VARIANTS_MAX];
 } scn;
 
-int
-scn_load(scn *out, const char *path, err *e);
+int scn_load(scn *out, const char *path, err *e);
 
 #endif
--- a/src/core/adm_level.h
+++ b/src/core/adm_level.h
@@ -20,15 +20,10 @@
     int64_t window_start_us;
 } adm_level_state;
 
-void
-adm_level_init(adm_level_state *s);
-void
-adm_level_arrive(adm_level_state *s, int priority);
-void
-adm_level_started(adm_level_state *s, int64_t waited_us);
-void
-adm_level_overflow(adm_level_state *s);
-void
-adm_level_tick(adm_level_state *s, int64_t now_us);
+void adm_level_init(adm_level_state *s);
+void adm_level_arrive(adm_level_state *s, int priority);
+void adm_level_started(adm_level_state *s, int64_t waited_us);
+void adm_level_overflow(adm_level_state *s);
+void adm_level_tick(adm_level_state *s, int64_t now_us);
 
 #endif
--- a/src/core/adm_limit.h
+++ b/src/core/adm_limit.h
@@ -22,12 +22,9 @@
     int64_t window_start_us;
 } adm_limit;
 
-void
-adm_limit_set_slots(adm_limit *l, int slots, bool cold, int64_t now_us);
-void
-adm_limit_finished(adm_limit *l, int64_t own_us, int in_flight,
-                   int64_t now_us);
-int
-adm_limit_value(const adm_limit *l);
+void adm_limit_set_slots(adm_limit *l, int slots, bool cold, int64_t now_us);
+void adm_limit_finished(adm_limit *l, int64_t own_us, int in_flight,
+                        int64_t now_us);
+int adm_limit_value(const adm_limit *l);
 
 #endif
--- a/src/core/bud.c
+++ b/src/core/bud.c
@@ -72,6 +72,14 @@
     return 0;
 }
 
+/* Extra attempts that a ledger can still hand out. */
+int
+bud_left(bud *b, uint64_t token)
+{
+    const bud_ledger *ledger = token == 0 ? NULL : bud_find(b, token);
+    return ledger == NULL ? 0 : ledger->left;
+}
+
 /* Debit up to `want` extra attempts and return how many were granted; a
  * token that is not open is granted none. */
 int
@@ -87,17 +95,18 @@
     return granted;
 }
 
-/* Credit what a sub-call did not use; never more than was handed out. */
+/* Settle a loan of `granted` extra attempts: credit what was not used, and
+ * never more than was granted.  Each loan is settled at most once. */
 void
-bud_give_back(bud *b, uint64_t token, int amount)
+bud_settle(bud *b, uint64_t token, int granted, int unused)
 {
     bud_ledger *ledger = token == 0 ? NULL : bud_find(b, token);
-    if (ledger == NULL || amount <= 0) {
+    if (ledger == NULL || granted <= 0 || granted > ledger->lent) {
         return;
     }
-    int credited = amount < ledger->lent ? amount : ledger->lent;
-    ledger->left += credited;
-    ledger->lent -= credited;
+    int credited = unused < granted ? unused : granted;
+    ledger->lent -= granted;
+    ledger->left += credited > 0 ? credited : 0;
 }
 
 /* Close a ledger and return what is left, which goes back to the caller
--- a/src/node/ask.h
+++ b/src/node/ask.h
@@ -6,8 +6,7 @@
 
 #include "lav/msg.h"
 
-int
-ask_exchange(msg *out, const char *address, uint16_t port, const msg *question,
-             int64_t wait_ms, err *e);
+int ask_exchange(msg *out, const char *address, uint16_t port,
+                 const msg *question, int64_t wait_ms, err *e);
 
 #endif
--- a/src/node/atr.h
+++ b/src/node/atr.h
@@ -14,21 +14,13 @@
 typedef struct atr atr;
 struct dlv_result;
 
-int
-atr_new(atr **out, node *n, err *e);
-void
-atr_stop(atr *a);
-void
-atr_free(atr *a);
-void
-atr_arrive(int slot, msg *request, void *payload);
-int
-atr_cancel(atr *a, uint64_t nonce, int slot);
-void
-atr_delivered(const struct dlv_result *result, void *payload);
-void
-atr_announce(atr *a, const inb_announcement *announcement);
-void
-atr_set_map(atr *a, const amo_map *map);
+int atr_new(atr **out, node *n, err *e);
+void atr_stop(atr *a);
+void atr_free(atr *a);
+void atr_arrive(int slot, msg *request, void *payload);
+int atr_cancel(atr *a, uint64_t nonce, int slot);
+void atr_delivered(const struct dlv_result *result, void *payload);
+void atr_announce(atr *a, const inb_announcement *announcement);
+void atr_set_map(atr *a, const amo_map *map);
 
 #endif
--- a/src/node/atr_private.h
+++ b/src/node/atr_private.h
@@ -78,27 +78,17 @@
 };
 
 /* atr_call.c */
-void
-atr_call_arrive(atr *a, int slot, msg *request, int64_t now_us);
-void
-atr_call_delivered(atr *a, dlv_result *result, int64_t now_us);
-enum dsp_cancel
-atr_call_cancel(atr *a, uint64_t nonce, int64_t now_us);
-void
-atr_call_expire(atr *a, int64_t now_us);
-void
-atr_call_dispatch_next(atr *a, int64_t now_us);
+void atr_call_arrive(atr *a, int slot, msg *request, int64_t now_us);
+void atr_call_delivered(atr *a, dlv_result *result, int64_t now_us);
+enum dsp_cancel atr_call_cancel(atr *a, uint64_t nonce, int64_t now_us);
+void atr_call_expire(atr *a, int64_t now_us);
+void atr_call_dispatch_next(atr *a, int64_t now_us);
 
 /* atr_target.c */
-void
-atr_target_announce(atr *a, const inb_announcement *said, int64_t now_us);
-void
-atr_target_tick(atr *a, int64_t now_us);
-void
-atr_target_failed(atr *a);
-bool
-atr_target_ready(const atr *a, int64_t now_us);
-bool
-atr_target_lingers(const atr *a, int64_t now_us);
+void atr_target_announce(atr *a, const inb_announcement *said, int64_t now_us);
+void atr_target_tick(atr *a, int64_t now_us);
+void atr_target_failed(atr *a);
+bool atr_target_ready(const atr *a, int64_t now_us);
+bool atr_target_lingers(const atr *a, int64_t now_us);
 
 #endif
--- a/src/node/cal.h
+++ b/src/node/cal.h
@@ -48,17 +48,11 @@
 
 typedef struct cal cal;
 
-int
-cal_new(cal **out, size_t calls_max);
-void
-cal_free(cal *c);
-int
-cal_take(cal *c);
-void
-cal_give_back(cal *c, int handle);
-cal_call *
-cal_get(cal *c, int handle);
-size_t
-cal_size(const cal *c);
+int cal_new(cal **out, size_t calls_max);
+void cal_free(cal *c);
+int cal_take(cal *c);
+void cal_give_back(cal *c, int handle);
+cal_call *cal_get(cal *c, int handle);
+size_t cal_size(const cal *c);
 
 #endif
--- a/src/node/cfs.h
+++ b/src/node/cfs.h
@@ -12,16 +12,11 @@
 
 typedef struct cfs cfs;
 
-int
-cfs_new(cfs **out, node *n, err *e);
-void
-cfs_free(cfs *c);
-uint64_t
-cfs_version(cfs *c);
-int
-cfs_apply(cfs *c, uint64_t version, const char *head, cfg_fetch_cb fetch,
-          void *payload, err *e);
-int
-cfs_lookup(msg_body *out, uint64_t *out_version, cfs *c, const char *key);
+int cfs_new(cfs **out, node *n, err *e);
+void cfs_free(cfs *c);
+uint64_t cfs_version(cfs *c);
+int cfs_apply(cfs *c, uint64_t version, const char *head, cfg_fetch_cb fetch,
+              void *payload, err *e);
+int cfs_lookup(msg_body *out, uint64_t *out_version, cfs *c, const char *key);
 
 #endif
--- a/src/node/ctl.h
+++ b/src/node/ctl.h
@@ -10,11 +10,8 @@
 
 typedef struct ctl ctl;
 
-int
-ctl_new(ctl **out, node *n, err *e);
-void
-ctl_free(ctl *c);
-void
-ctl_cancelled(ctl *c, int slot, uint64_t nonce, enum dsp_cancel result);
+int ctl_new(ctl **out, node *n, err *e);
+void ctl_free(ctl *c);
+void ctl_cancelled(ctl *c, int slot, uint64_t nonce, enum dsp_cancel result);
 
 #endif
--- a/src/node/dlv.h
+++ b/src/node/dlv.h
@@ -42,15 +42,10 @@
 
 typedef struct dlv dlv;
 
-int
-dlv_new(dlv **out, dlv_cb callback, void *payload, err *e);
-void
-dlv_free(dlv *d);
-int
-dlv_set_threads(dlv *d, int threads, err *e);
-int
-dlv_submit(dlv *d, const dlv_job *job);
-void
-dlv_cancel(dlv *d, const char *url, const char *request);
+int dlv_new(dlv **out, dlv_cb callback, void *payload, err *e);
+void dlv_free(dlv *d);
+int dlv_set_threads(dlv *d, int threads, err *e);
+int dlv_submit(dlv *d, const dlv_job *job);
+void dlv_cancel(dlv *d, const char *url, const char *request);
 
 #endif
--- a/src/node/duty.h
+++ b/src/node/duty.h
@@ -22,13 +22,9 @@
     void *payload;
 } duty;
 
-int
-duty_start(duty *d, duty_cb body, void *payload, err *e);
-void
-duty_end(duty *d);
-bool
-duty_ended(duty *d);
-void
-duty_join(duty *d);
+int duty_start(duty *d, duty_cb body, void *payload, err *e);
+void duty_end(duty *d);
+bool duty_ended(duty *d);
+void duty_join(duty *d);
 
 #endif
--- a/src/node/gsp.h
+++ b/src/node/gsp.h
@@ -11,21 +11,13 @@
 
 typedef struct gsp gsp;
 
-int
-gsp_new(gsp **out, node *n, err *e);
-int
-gsp_start(gsp *g, err *e);
-void
-gsp_stop(gsp *g);
-void
-gsp_free(gsp *g);
-void
-gsp_take(gsp *g, const msg_gossip *news, msg_gossip *out_answer);
-void
-gsp_meet(gsp *g, const mbr_entry *entry);
-void
-gsp_self(mbr_entry *out, gsp *g);
-int64_t
-gsp_quiet_us(gsp *g, int64_t now_us);
+int gsp_new(gsp **out, node *n, err *e);
+int gsp_start(gsp *g, err *e);
+void gsp_stop(gsp *g);
+void gsp_free(gsp *g);
+void gsp_take(gsp *g, const msg_gossip *news, msg_gossip *out_answer);
+void gsp_meet(gsp *g, const mbr_entry *entry);
+void gsp_self(mbr_entry *out, gsp *g);
+int64_t gsp_quiet_us(gsp *g, int64_t now_us);
 
 #endif
--- a/src/node/inb.h
+++ b/src/node/inb.h
@@ -18,13 +18,9 @@
 
 typedef struct inb inb;
 
-int
-inb_new(inb **out, node *n, cal *calls, err *e);
-void
-inb_free(inb *i);
-void
-inb_quiesce(inb *i);
-void
-inb_answer(inb *i, int handle);
+int inb_new(inb **out, node *n, cal *calls, err *e);
+void inb_free(inb *i);
+void inb_quiesce(inb *i);
+void inb_answer(inb *i, int handle);
 
 #endif
--- a/src/node/inb_parse.h
+++ b/src/node/inb_parse.h
@@ -23,11 +23,8 @@
     uint64_t start; /* changes with each start of the target */
 } inb_announcement;
 
-int
-inb_parse_path(cal_call *call, const char *url);
-void
-inb_parse_headers(cal_call *call, const inb_headers *headers);
-int
-inb_parse_announcement(inb_announcement *out, const char *text, err *e);
+int inb_parse_path(cal_call *call, const char *url);
+void inb_parse_headers(cal_call *call, const inb_headers *headers);
+int inb_parse_announcement(inb_announcement *out, const char *text, err *e);
 
 #endif
--- a/src/node/ins.h
+++ b/src/node/ins.h
@@ -26,16 +26,11 @@
 
 typedef struct ins ins;
 
-int
-ins_new(ins **out);
-void
-ins_free(ins *i);
-ins_instance *
-ins_get(ins *i, uint64_t incarnation, int64_t now_us);
-int
-ins_load(const ins_instance *instance, int64_t now_us);
-void
-ins_heard(ins_instance *instance, const msg_reply *reply,
-          int64_t round_trip_us, int64_t now_us);
+int ins_new(ins **out);
+void ins_free(ins *i);
+ins_instance *ins_get(ins *i, uint64_t incarnation, int64_t now_us);
+int ins_load(const ins_instance *instance, int64_t now_us);
+void ins_heard(ins_instance *instance, const msg_reply *reply,
+               int64_t round_trip_us, int64_t now_us);
 
 #endif
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -63,13 +63,9 @@
     struct syn *sync;
 } node;
 
-int
-node_new(node **out, const nst *settings, err *e);
-void
-node_free(node *n);
-int
-node_run(node *n);
-void
-node_request_stop(void);
+int node_new(node **out, const nst *settings, err *e);
+void node_free(node *n);
+int node_run(node *n);
+void node_request_stop(void);
 
 #endif
--- a/src/node/own.h
+++ b/src/node/own.h
@@ -10,9 +10,7 @@
 #include "lav/amo.h"
 #include "lav/err.h"
 
-int
-own_parse(amo_map *out, const char *text, uint64_t version, err *e);
-char *
-own_format(const amo_map *map);
+int own_parse(amo_map *out, const char *text, uint64_t version, err *e);
+char *own_format(const amo_map *map);
 
 #endif
--- a/src/node/per.c
+++ b/src/node/per.c
@@ -44,8 +44,7 @@
     int *free_list; /* indexes of unused attempts */
 };
 
-static void
-per_step(void *payload);
+static void per_step(void *payload);
 
 /* Make room for `attempts_max` attempts at a time. */
 int
--- a/src/node/per.h
+++ b/src/node/per.h
@@ -28,13 +28,10 @@
 
 typedef struct per per;
 
-int
-per_new(per **out, size_t attempts_max, per_cb callback, void *payload,
-        err *e);
-void
-per_free(per *p);
-int
-per_send(per *p, const char *address, uint16_t port, const msg *m,
-         uint64_t nonce, int64_t wait_ms);
+int per_new(per **out, size_t attempts_max, per_cb callback, void *payload,
+            err *e);
+void per_free(per *p);
+int per_send(per *p, const char *address, uint16_t port, const msg *m,
+             uint64_t nonce, int64_t wait_ms);
 
 #endif
--- a/src/node/rtr.h
+++ b/src/node/rtr.h
@@ -11,13 +11,9 @@
 
 typedef struct rtr rtr;
 
-int
-rtr_new(rtr **out, node *n, cal *calls, err *e);
-void
-rtr_stop(rtr *r);
-void
-rtr_free(rtr *r);
-int
-rtr_submit(rtr *r, int handle);
+int rtr_new(rtr **out, node *n, cal *calls, err *e);
+void rtr_stop(rtr *r);
+void rtr_free(rtr *r);
+int rtr_submit(rtr *r, int handle);
 
 #endif
--- a/src/node/rtr_attempt.c
+++ b/src/node/rtr_attempt.c
@@ -148,8 +148,7 @@
     m->body = call->body;
 }
 
-static void
-rtr_not_sent(rtr *r, int handle, int64_t now_us);
+static void rtr_not_sent(rtr *r, int handle, int64_t now_us);
 
 static void
 rtr_send(rtr *r, int handle, const mbr_entry *entry, int64_t now_us)
--- a/src/node/rtr_finish.c
+++ b/src/node/rtr_finish.c
@@ -30,7 +30,8 @@
                    enum outcome outcome, int64_t now_us)
 {
     if (state->parent != 0) {
-        tok_call_end(r->node->tokens, state->parent, state->budget, now_us);
+        tok_call_end(r->node->tokens, state->parent, state->granted,
+                     state->budget, now_us);
     }
     if (state->remembered) {
         sen_answered(r->seen, call->request.text, state->budget,
--- a/src/node/rtr_private.h
+++ b/src/node/rtr_private.h
@@ -46,6 +46,7 @@
     int64_t started_us;
     int64_t deadline_us;
     int64_t wake_us; /* when the phase times out */
+    int granted;     /* extra attempts that the parent's ledger gave */
     int budget;      /* extra attempts left here */
     int lent;        /* handed over with the present attempt */
     int reroutes;
@@ -95,27 +96,21 @@
 };
 
 /* rtr_start.c */
-void
-rtr_start(rtr *r, int handle, int64_t now_us);
+void rtr_start(rtr *r, int handle, int64_t now_us);
 
 /* rtr_attempt.c */
-void
-rtr_try(rtr *r, int handle, int64_t now_us);
-void
-rtr_attempt_over(rtr *r, int handle, const rtr_event *event, int64_t now_us);
-void
-rtr_cancel(rtr *r, int handle, int64_t now_us);
-void
-rtr_cancel_over(rtr *r, int handle, const rtr_event *event, int64_t now_us);
-bool
-rtr_refused_early(rtr *r, int handle, int64_t now_us);
-int
-rtr_operation_level(rtr *r, const char *service, const char *operation,
-                    int64_t now_us);
+void rtr_try(rtr *r, int handle, int64_t now_us);
+void rtr_attempt_over(rtr *r, int handle, const rtr_event *event,
+                      int64_t now_us);
+void rtr_cancel(rtr *r, int handle, int64_t now_us);
+void rtr_cancel_over(rtr *r, int handle, const rtr_event *event,
+                     int64_t now_us);
+bool rtr_refused_early(rtr *r, int handle, int64_t now_us);
+int rtr_operation_level(rtr *r, const char *service, const char *operation,
+                        int64_t now_us);
 
 /* rtr_finish.c */
-void
-rtr_finish(rtr *r, int handle, enum reason reason, msg_reply *reply,
-           int64_t now_us);
+void rtr_finish(rtr *r, int handle, enum reason reason, msg_reply *reply,
+                int64_t now_us);
 
 #endif
--- a/src/node/rtr_start.c
+++ b/src/node/rtr_start.c
@@ -97,8 +97,9 @@
     if (parent->deadline_us < state->deadline_us) {
         state->deadline_us = parent->deadline_us;
     }
-    state->budget = tok_take(r->node->tokens, call->token,
-                             (int)l->operations[from].callee_count);
+    state->granted = tok_take(r->node->tokens, call->token,
+                              (int)l->operations[from].callee_count);
+    state->budget = state->granted;
     return REASON_NONE;
 }
 
--- a/src/node/srv.h
+++ b/src/node/srv.h
@@ -17,12 +17,9 @@
 
 typedef struct srv srv;
 
-int
-srv_new(srv **out, const char *address, int64_t port, size_t slots,
-        srv_cb callback, void *payload, err *e);
-void
-srv_free(srv *s);
-void
-srv_answer(srv *s, int slot, const msg *answer);
+int srv_new(srv **out, const char *address, int64_t port, size_t slots,
+            srv_cb callback, void *payload, err *e);
+void srv_free(srv *s);
+void srv_answer(srv *s, int slot, const msg *answer);
 
 #endif
--- a/src/node/sts.h
+++ b/src/node/sts.h
@@ -6,11 +6,8 @@
 
 #include "node.h"
 
-char *
-sts_status(node *n);
-char *
-sts_explain(node *n, const char *request);
-char *
-sts_target(node *n);
+char *sts_status(node *n);
+char *sts_explain(node *n, const char *request);
+char *sts_target(node *n);
 
 #endif
--- a/src/node/syn.h
+++ b/src/node/syn.h
@@ -13,11 +13,8 @@
 
 typedef struct syn syn;
 
-int
-syn_new(syn **out, node *n, err *e);
-void
-syn_stop(syn *s);
-void
-syn_free(syn *s);
+int syn_new(syn **out, node *n, err *e);
+void syn_stop(syn *s);
+void syn_free(syn *s);
 
 #endif
--- a/src/node/syn_owners.h
+++ b/src/node/syn_owners.h
@@ -18,9 +18,7 @@
     uint64_t fleet_mark; /* of the leaving members last seen */
 } syn_owners;
 
-void
-syn_owners_init(syn_owners *o, node *n);
-void
-syn_owners_step(syn_owners *o, plt *p, int64_t now_us, int64_t now_ms);
+void syn_owners_init(syn_owners *o, node *n);
+void syn_owners_step(syn_owners *o, plt *p, int64_t now_us, int64_t now_ms);
 
 #endif
--- a/src/node/tok.c
+++ b/src/node/tok.c
@@ -103,9 +103,8 @@
 tok_take(tok *t, uint64_t token, int calls_to_come)
 {
     pthread_mutex_lock(&t->lock);
-    int all = bud_take(t->budgets, token, BUD_TENTHS);
-    int share = bud_share(all, calls_to_come);
-    bud_give_back(t->budgets, token, all - share);
+    int share = bud_share(bud_left(t->budgets, token), calls_to_come);
+    share = bud_take(t->budgets, token, share);
     pthread_mutex_unlock(&t->lock);
     return share;
 }
@@ -147,12 +146,12 @@
 
 /* A call of the target has been answered. */
 void
-tok_call_end(tok *t, uint64_t token, int budget_left, int64_t now_us)
+tok_call_end(tok *t, uint64_t token, int granted, int unused, int64_t now_us)
 {
     pthread_mutex_lock(&t->lock);
     tok_served *served = token == 0 ? NULL : tok_lookup(t, token);
     if (served != NULL) {
-        bud_give_back(t->budgets, token, budget_left);
+        bud_settle(t->budgets, token, granted, unused);
         if (served->calls_open > 0 && --served->calls_open == 0) {
             served->calls_us += now_us - served->open_since_us;
         }
--- a/src/node/tok.h
+++ b/src/node/tok.h
@@ -26,21 +26,15 @@
 
 typedef struct tok tok;
 
-int
-tok_new(tok **out, size_t served_max);
-void
-tok_free(tok *t);
-int
-tok_open(tok *t, uint64_t token, const tok_context *context, int budget);
-bool
-tok_find(tok_context *out, tok *t, uint64_t token);
-int
-tok_take(tok *t, uint64_t token, int calls_to_come);
-bool
-tok_call_begin(tok *t, uint64_t token, uint64_t request_hash, int64_t now_us);
-void
-tok_call_end(tok *t, uint64_t token, int budget_left, int64_t now_us);
-int
-tok_close(int64_t *out_calls_us, tok *t, uint64_t token, int64_t now_us);
+int tok_new(tok **out, size_t served_max);
+void tok_free(tok *t);
+int tok_open(tok *t, uint64_t token, const tok_context *context, int budget);
+bool tok_find(tok_context *out, tok *t, uint64_t token);
+int tok_take(tok *t, uint64_t token, int calls_to_come);
+bool tok_call_begin(tok *t, uint64_t token, uint64_t request_hash,
+                    int64_t now_us);
+void tok_call_end(tok *t, uint64_t token, int granted, int unused,
+                  int64_t now_us);
+int tok_close(int64_t *out_calls_us, tok *t, uint64_t token, int64_t now_us);
 
 #endif
--- a/src/node/view.h
+++ b/src/node/view.h
@@ -23,25 +23,15 @@
 
 typedef struct view view;
 
-int
-view_new(view **out);
-void
-view_free(view *v);
-void
-view_thread_enter(void);
-void
-view_thread_leave(void);
-void
-view_read_begin(void);
-void
-view_read_end(void);
-const view_config *
-view_config_get(view *v);
-const view_fleet *
-view_fleet_get(view *v);
-int
-view_config_set(view *v, uint64_t version, land *landscape);
-int
-view_fleet_set(view *v, const mbr *members);
+int view_new(view **out);
+void view_free(view *v);
+void view_thread_enter(void);
+void view_thread_leave(void);
+void view_read_begin(void);
+void view_read_end(void);
+const view_config *view_config_get(view *v);
+const view_fleet *view_fleet_get(view *v);
+int view_config_set(view *v, uint64_t version, land *landscape);
+int view_fleet_set(view *v, const mbr *members);
 
 #endif
--- a/src/node/xpl.h
+++ b/src/node/xpl.h
@@ -11,14 +11,10 @@
 
 typedef struct xpl xpl;
 
-int
-xpl_new(xpl **out, size_t decisions_max);
-void
-xpl_free(xpl *x);
-void
-xpl_note(xpl *x, const char *root, const char *request, const char *format,
-         ...) __attribute__((format(printf, 4, 5)));
-json_t *
-xpl_find(xpl *x, const char *request);
+int xpl_new(xpl **out, size_t decisions_max);
+void xpl_free(xpl *x);
+void xpl_note(xpl *x, const char *root, const char *request,
+              const char *format, ...) __attribute__((format(printf, 4, 5)));
+json_t *xpl_find(xpl *x, const char *request);
 
 #endif
--- a/src/tools/fleet.h
+++ b/src/tools/fleet.h
@@ -19,9 +19,7 @@
     fleet_node nodes[MBR_MAX];
 } fleet;
 
-int
-fleet_find(fleet *out, const char *platform, const char *node, err *e);
-json_t *
-fleet_ask(const fleet_node *node, const char *path);
+int fleet_find(fleet *out, const char *platform, const char *node, err *e);
+json_t *fleet_ask(const fleet_node *node, const char *path);
 
 #endif
--- a/src/tools/publisher.h
+++ b/src/tools/publisher.h
@@ -21,8 +21,8 @@
         NULL, 10000                                                           \
     }
 
-int
-publisher_publish(uint64_t *out_version, plt *platform, const tool_file *files,
-                  size_t count, const publisher_options *options, err *e);
+int publisher_publish(uint64_t *out_version, plt *platform,
+                      const tool_file *files, size_t count,
+                      const publisher_options *options, err *e);
 
 #endif
--- a/src/tools/tool.h
+++ b/src/tools/tool.h
@@ -30,14 +30,11 @@
     char hash[CFG_HASH_SIZE];
 } tool_file;
 
-bool
-tool_parse(int *argc, char ***argv, const GOptionEntry *entries,
-           const char *summary, const char *description, const char *name);
-int
-tool_read_files(tool_file *out, size_t *out_count, char **paths, err *e);
-void
-tool_free_files(tool_file *files, size_t count);
-void
-tool_print_error(const char *name, const err *e);
+bool tool_parse(int *argc, char ***argv, const GOptionEntry *entries,
+                const char *summary, const char *description,
+                const char *name);
+int tool_read_files(tool_file *out, size_t *out_count, char **paths, err *e);
+void tool_free_files(tool_file *files, size_t count);
+void tool_print_error(const char *name, const err *e);
 
 #endif
--- /dev/null
+++ b/tests/property/adm_property.cpp
@@ -0,0 +1,176 @@
+// Class order: under any load, no call gets a slot while a more important
+// one waits, and none is refused for want of a slot while a less important
+// one was let in during its wait.
+#include "prop.hpp"
+
+#include <map>
+#include <vector>
+
+#include "lav/adm.h"
+
+namespace
+{
+
+struct waiting {
+    int klass;
+    int64_t since_us;
+};
+
+struct world {
+    adm *a = nullptr;
+    svc_policy policy{};
+    int slots;
+    int64_t now_us = 1000000;
+    int next_handle = 0;
+    std::map<int, waiting> queue;
+    std::map<int, int64_t> running;          // handle -> started
+    int64_t last_start_us[SVC_CLASS_COUNT] = {};
+
+    world()
+    {
+        policy.admission = true;
+        policy.root_class = true;
+        policy.rank = pick(0, 1) == 1;
+        policy.deadline_drop = pick(0, 1) == 1;
+        policy.adaptive_limit = pick(0, 1) == 1;
+        policy.ramp = pick(0, 1) == 1;
+        policy.queue = pick(0, 1) ? SVC_QUEUE_CLASS : SVC_QUEUE_LIFO;
+        policy.queue_ms = pick(20, 200);
+        policy.queue_length = pick(1, 12);
+        slots = pick(1, 8);
+        RC_ASSERT(adm_new(&a, &policy) == 0);
+        adm_set_slots(a, slots, pick(0, 1) == 1, now_us);
+    }
+
+    ~world()
+    {
+        adm_free(a);
+    }
+
+    void
+    started(int handle, int klass)
+    {
+        for (const auto &entry : queue) {
+            RC_ASSERT(entry.second.klass >= klass);
+        }
+        running[handle] = now_us;
+        last_start_us[klass] = now_us;
+        RC_ASSERT((int)running.size() <= slots);
+    }
+
+    // Refused for want of a slot: nothing less important came in meanwhile.
+    void
+    refused(int klass, int64_t since_us, enum reason reason)
+    {
+        if (reason == REASON_DEADLINE) {
+            return;
+        }
+        for (int i = klass + 1; i < SVC_CLASS_COUNT; i++) {
+            RC_ASSERT(last_start_us[i] <= since_us);
+        }
+    }
+
+    void
+    arrive()
+    {
+        adm_call call{};
+        call.handle = next_handle++;
+        call.klass = pick(0, SVC_CLASS_COUNT - 1);
+        call.rank = pick(0, ID_RANKS - 1);
+        call.depth = pick(1, 7);
+        call.arrived_us = now_us;
+        call.deadline_us = now_us + pick(10, 1000) * 1000;
+        adm_verdict verdict = adm_arrive(a, &call, now_us);
+        if (verdict.displaced != ADM_NONE) {
+            waiting displaced = queue.at(verdict.displaced);
+            queue.erase(verdict.displaced);
+            RC_ASSERT(displaced.klass >= call.klass);
+            refused(displaced.klass, displaced.since_us,
+                    REASON_QUEUE_DISPLACED);
+        }
+        switch (verdict.decision) {
+        case ADM_DISPATCH:
+            started(call.handle, call.klass);
+            break;
+        case ADM_QUEUED:
+            queue[call.handle] = {call.klass, now_us};
+            RC_ASSERT((int64_t)queue.size() <= policy.queue_length);
+            break;
+        case ADM_REFUSED:
+            refused(call.klass, now_us, verdict.reason);
+        }
+    }
+
+    void
+    dispatch()
+    {
+        int handle;
+        while (adm_next(&handle, a, now_us)) {
+            waiting next = queue.at(handle);
+            queue.erase(handle);
+            started(handle, next.klass);
+        }
+    }
+
+    void
+    expire()
+    {
+        adm_refusal refusal;
+        while (adm_expire(&refusal, a, now_us)) {
+            waiting gone = queue.at(refusal.handle);
+            queue.erase(refusal.handle);
+            refused(gone.klass, gone.since_us, refusal.reason);
+        }
+    }
+
+    void
+    finish()
+    {
+        if (running.empty()) {
+            return;
+        }
+        auto oldest = running.begin();
+        adm_finished(a, now_us - oldest->second, now_us);
+        running.erase(oldest);
+    }
+
+    void
+    step()
+    {
+        now_us += pick(0, 20) * 1000 + 1;
+        expire();
+        switch (pick(0, 3)) {
+        case 0:
+            finish();
+            break;
+        case 1:
+            if (!queue.empty()) {
+                int handle = queue.begin()->first;
+                RC_ASSERT(adm_remove(a, handle));
+                queue.erase(handle);
+            }
+            break;
+        default:
+            arrive();
+        }
+        dispatch();
+        RC_ASSERT(adm_queued(a) == (int)queue.size());
+        RC_ASSERT(adm_in_flight(a) == (int)running.size());
+    }
+};
+
+} // namespace
+
+int
+main()
+{
+    prop_tally tally;
+    tally.check("the more important call goes first", [] {
+        world w;
+        int steps = pick(50, 600);
+        for (int i = 0; i < steps; i++) {
+            w.step();
+        }
+    });
+    return tally.finish();
+}
--- /dev/null
+++ b/tests/property/amo_property.cpp
@@ -0,0 +1,230 @@
+// At most once: whatever nodes join, leave, stop, lose their memory or act
+// by an old map, no id is ever admitted to run by two of them, nor twice by
+// one.
+#include "prop.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "lav/amo.h"
+
+namespace
+{
+
+constexpr int64_t START_MS = 1000000;
+constexpr int64_t WINDOW_MS = 60000;
+
+struct node {
+    uint64_t incarnation;
+    amo *record;
+    amo_map map; // as this node last saw it
+    bool leaving = false;
+};
+
+struct world {
+    int64_t now_ms = START_MS;
+    uint64_t next_incarnation = 1;
+    amo_map platform{};
+    std::vector<node> nodes;
+    std::vector<id> ids;
+    std::map<std::string, int> runs;
+    std::set<std::string> refused;
+
+    ~world()
+    {
+        for (node &n : nodes) {
+            amo_free(n.record);
+        }
+    }
+
+    void
+    join()
+    {
+        node n{};
+        amo_options options = AMO_OPTIONS_INIT;
+        options.self = n.incarnation = next_incarnation++;
+        options.window_ms = WINDOW_MS;
+        options.ids_max = 64;
+        RC_ASSERT(amo_new(&n.record, &options) == 0);
+        nodes.push_back(n);
+    }
+
+    node &
+    any()
+    {
+        return nodes[(size_t)pick(0, (int)nodes.size() - 1)];
+    }
+
+    // A node is gone, with its memory, or comes back as another.
+    void
+    crash()
+    {
+        size_t at = (size_t)pick(0, (int)nodes.size() - 1);
+        amo_free(nodes[at].record);
+        nodes.erase(nodes.begin() + (long)at);
+        if (nodes.empty() || pick(0, 1)) {
+            join();
+        }
+    }
+
+    // The conditional update: only from the version that is there.
+    void
+    extend()
+    {
+        std::vector<uint64_t> members;
+        for (const node &n : nodes) {
+            if (!n.leaving && pick(0, 3) > 0) {
+                members.push_back(n.incarnation);
+            }
+        }
+        amo_map next = platform;
+        if (amo_map_extend(&next, members.data(), members.size(), now_ms,
+                           pick(500, 5000), WINDOW_MS)) {
+            next.version = platform.version + 1;
+            platform = next;
+        }
+    }
+
+    void
+    leave()
+    {
+        node &n = any();
+        int64_t from_ms = now_ms + pick(0, 1500);
+        amo_relinquish(n.record, from_ms);
+        n.leaving = true;
+        amo_map next = platform;
+        if (amo_map_leave(&next, n.incarnation, from_ms)) {
+            next.version = platform.version + 1;
+            platform = next;
+        }
+    }
+
+    void
+    see_map()
+    {
+        node &n = any();
+        amo_set_map(n.record, &platform);
+    }
+
+    void
+    request()
+    {
+        id asked;
+        if (ids.empty() || pick(0, 1)) {
+            id_mint(&asked, now_ms + pick(-3000, 3000));
+            ids.push_back(asked);
+        }
+        else {
+            asked = ids[(size_t)pick(0, (int)ids.size() - 1)];
+        }
+        node &n = any();
+        if (amo_admit(n.record, &asked, now_ms) != AMO_RUN) {
+            return;
+        }
+        RC_ASSERT(refused.count(asked.text) == 0);
+        finish(n, asked);
+    }
+
+    void
+    finish(node &n, const id &asked)
+    {
+        switch (pick(0, 4)) {
+        case 0:
+            amo_withdraw(n.record, &asked, false);
+            return;
+        case 1:
+            amo_withdraw(n.record, &asked, true);
+            refused.insert(asked.text);
+            return;
+        case 2:
+            amo_dispatched(n.record, &asked);
+            RC_ASSERT(++runs[asked.text] == 1);
+            amo_lost(n.record, &asked);
+            return;
+        case 3:
+            amo_dispatched(n.record, &asked);
+            RC_ASSERT(++runs[asked.text] == 1);
+            return; // still running
+        default:
+            amo_dispatched(n.record, &asked);
+            RC_ASSERT(++runs[asked.text] == 1);
+            amo_done(n.record, &asked, 200, "text/plain", "ok", 2);
+            return;
+        }
+    }
+
+    void
+    step()
+    {
+        switch (pick(0, 13)) {
+        case 0:
+            join();
+            break;
+        case 1:
+            crash();
+            break;
+        case 2:
+        case 3:
+            extend();
+            break;
+        case 4:
+            leave();
+            break;
+        case 5:
+        case 6:
+        case 7:
+            see_map();
+            break;
+        case 8:
+            now_ms += pick(1, 3000);
+            break;
+        default:
+            request();
+        }
+    }
+};
+
+} // namespace
+
+int
+main()
+{
+    prop_tally tally;
+    tally.check("no id runs twice, nor after a refusal for good", [] {
+        world w;
+        w.join();
+        w.join();
+        int steps = pick(50, 400);
+        for (int i = 0; i < steps; i++) {
+            w.step();
+        }
+    });
+    tally.check("an id never changes its owner, but for one that left", [] {
+        amo_map map{};
+        std::vector<uint64_t> members{1, 2, 3, 4};
+        int64_t now_ms = START_MS;
+        RC_ASSERT(amo_map_extend(&map, members.data(), members.size(),
+                                 now_ms, 5000, WINDOW_MS));
+        id asked;
+        id_mint(&asked, now_ms + pick(0, 4999));
+        uint64_t owner = amo_map_owner(&map, &asked);
+        RC_ASSERT(owner != 0u);
+        std::set<uint64_t> left;
+        for (int i = 0; i < 8; i++) {
+            now_ms += pick(1, 1500);
+            if (pick(0, 2) == 0) {
+                uint64_t leaver = (uint64_t)pick(1, 4);
+                amo_map_leave(&map, leaver, now_ms);
+                left.insert(leaver);
+            }
+            members.resize((size_t)pick(1, 4));
+            amo_map_extend(&map, members.data(), members.size(), now_ms,
+                           5000, WINDOW_MS);
+            uint64_t later = amo_map_owner(&map, &asked);
+            RC_ASSERT(later == owner || left.count(owner) == 1);
+        }
+    });
+    return tally.finish();
+}
--- a/tests/standin/sin.h
+++ b/tests/standin/sin.h
@@ -28,24 +28,16 @@
 
 typedef struct sin sin_server;
 
-int
-sin_new(sin_server **out, int port, sin_cb callback, void *payload, err *e);
-void
-sin_free(sin_server *s);
-enum MHD_Result
-sin_text(const sin_request *request, unsigned status, const char *text,
-         const char *etag);
-enum MHD_Result
-sin_cut(const sin_request *request, const char *text);
-const char *
-sin_query(const sin_request *request, const char *name);
-int
-sin_query_int(const sin_request *request, const char *name, int absent);
-const char *
-sin_header(const sin_request *request, const char *name);
-int
-sin_wait_for_signal(int timeout_ms);
-void
-sin_catch_signals(void);
+int sin_new(sin_server **out, int port, sin_cb callback, void *payload,
+            err *e);
+void sin_free(sin_server *s);
+enum MHD_Result sin_text(const sin_request *request, unsigned status,
+                         const char *text, const char *etag);
+enum MHD_Result sin_cut(const sin_request *request, const char *text);
+const char *sin_query(const sin_request *request, const char *name);
+int sin_query_int(const sin_request *request, const char *name, int absent);
+const char *sin_header(const sin_request *request, const char *name);
+int sin_wait_for_signal(int timeout_ms);
+void sin_catch_signals(void);
 
 #endif
