--- /dev/null
+++ b/tests/unit/trap_test.c
@@ -0,0 +1,146 @@
+/* Traps of the libraries: what resends by itself must not. */
+#include <criterion/criterion.h>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/rep.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "lav/htc.h"
+#include "prc.h"
+#include "tcp_server.h"
+
+/* A server of the REP protocol that takes a request and drops the line. */
+static void *
+drop_requests(void *payload)
+{
+    nng_socket *server = payload;
+    for (;;) {
+        nng_msg *raw = NULL;
+        if (nng_recvmsg(*server, &raw, 0) != 0) {
+            return NULL;
+        }
+        tcp_server_taken++;
+        nng_pipe pipe = nng_msg_get_pipe(raw);
+        nng_msg_free(raw);
+        nng_pipe_close(pipe);
+    }
+}
+
+typedef struct resend_case {
+    nng_duration resend_ms;
+    bool once;
+} resend_case;
+
+/* nng sends again when a connection drops, unless the time is infinite;
+ * then the caller sees a lost connection. */
+static const resend_case resend_cases[] = {
+    {1000, false},
+    {NNG_DURATION_INFINITE, true},
+};
+
+Test(traps, nng_resends_unless_told)
+{
+    for (size_t i = 0; i < 2; i++) {
+        char url[64];
+        nng_socket server;
+        nng_socket client;
+        pthread_t thread;
+        char *answer = NULL;
+        size_t length = 0;
+        tcp_server_taken = 0;
+        snprintf(url, sizeof(url), "tcp://127.0.0.1:%d", prc_free_port());
+        cr_assert_eq(nng_rep0_open(&server), 0);
+        cr_assert_eq(nng_listen(server, url, NULL, 0), 0);
+        pthread_create(&thread, NULL, drop_requests, &server);
+        cr_assert_eq(nng_req0_open(&client), 0);
+        nng_socket_set_ms(client, NNG_OPT_REQ_RESENDTIME,
+                          resend_cases[i].resend_ms);
+        nng_socket_set_ms(client, NNG_OPT_RECVTIMEO, 700);
+        cr_assert_eq(nng_dial(client, url, NULL, 0), 0);
+        cr_assert_eq(nng_send(client, "pay", 4, 0), 0);
+        cr_expect_neq(nng_recv(client, &answer, &length, NNG_FLAG_ALLOC), 0);
+        if (resend_cases[i].once) {
+            cr_expect_eq(tcp_server_taken, 1);
+        }
+        else {
+            cr_expect_gt(tcp_server_taken, 1);
+        }
+        nng_close(client);
+        nng_close(server);
+        pthread_join(thread, NULL);
+    }
+}
+
+typedef struct keep_case {
+    bool may_resend;
+    int taken; /* requests that the server took of the second exchange */
+} keep_case;
+
+/* neon sends again over a kept connection that closes under it, unless the
+ * request is marked; then it opens a connection for it alone. */
+static const keep_case keep_cases[] = {
+    {true, 2},
+    {false, 1},
+};
+
+Test(traps, neon_resends_unless_told)
+{
+    for (size_t i = 0; i < 2; i++) {
+        char url[64];
+        htc *client = NULL;
+        htc_answer answer;
+        int port = prc_free_port();
+        /* The first request is answered; every later one is taken, and the
+         * connection closes, but for the last. */
+        tcp_server_start(port, keep_cases[i].may_resend ? 2 : 3);
+        htc_request request = {.method = "POST",
+                               .path = "/pay",
+                               .body = "x",
+                               .length = 1,
+                               .may_resend = true,
+                               .timeout_s = 2,
+                               .answer_max = 100};
+        snprintf(url, sizeof(url), "http://127.0.0.1:%d", port);
+        cr_assert_eq(htc_new(&client, url, NULL), 0);
+        cr_assert_eq(htc_exchange(&answer, client, &request, NULL), 0);
+        htc_answer_clear(&answer);
+        tcp_server_taken = 0;
+        request.may_resend = keep_cases[i].may_resend;
+        int result = htc_exchange(&answer, client, &request, NULL);
+        cr_expect_eq(tcp_server_taken, keep_cases[i].taken, "case %zu: %d", i,
+                     tcp_server_taken);
+        if (keep_cases[i].may_resend) {
+            cr_expect_eq(result, 0);
+            cr_expect(answer.resent, "the second sending is noticed");
+        }
+        else {
+            cr_expect_eq(result, ERR_UNKNOWN);
+        }
+        htc_answer_clear(&answer);
+        htc_free(client);
+        tcp_server_stop();
+    }
+}
+
+Test(traps, a_cut_answer_is_unknown_and_a_closed_port_is_not_sent)
+{
+    char url[64];
+    htc *client = NULL;
+    htc_answer answer;
+    int port = prc_free_port();
+    htc_request request = {
+        .method = "GET", .path = "/cut", .timeout_s = 1, .answer_max = 100};
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d", port);
+    cr_assert_eq(htc_new(&client, url, NULL), 0);
+    cr_expect_eq(htc_exchange(&answer, client, &request, NULL),
+                 ERR_UNAVAILABLE);
+    htc_answer_clear(&answer);
+    tcp_server_start(port, 1);
+    cr_expect_eq(htc_exchange(&answer, client, &request, NULL), ERR_UNKNOWN);
+    htc_answer_clear(&answer);
+    tcp_server_stop();
+    htc_free(client);
+}
