tests: at most once and true refusals under a table of faults

Cause: both promises were proved for the pure modules only. Change: a rig of six nodes and targets as real processes, with fault proxies before peers, control addresses and platform; eighteen faults, and the same id at two nodes at once.

--- /dev/null
+++ b/tests/integration/once_test.c
@@ -0,0 +1,297 @@
+/* At most once, and true refusals, over a table of faults: whatever fails,
+ * no payment runs twice and nothing that ran is said not to have run. */
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "lav/clk.h"
+#include "lav/htc.h"
+#include "prc.h"
+#include "rig.h"
+
+#define RATE 60.0
+#define SECONDS 7.0
+
+/* Puts a fault in, waits, and heals it. */
+typedef void (*fault_cb)(rig *r);
+
+static void
+fault_none(rig *r)
+{
+    (void)r;
+}
+
+static void
+fault_target_node_killed(rig *r)
+{
+    fld_instance *pay = fld_find(&r->field, "pay", 0);
+    prc_kill(&pay->node);
+}
+
+static void
+fault_callers_node_killed(rig *r)
+{
+    prc_kill(&fld_find(&r->field, "front", 1)->node);
+}
+
+static void
+fault_node_replaced(rig *r)
+{
+    err e = ERR_INIT;
+    fld_instance *pay = fld_find(&r->field, "pay", 1);
+    prc_kill(&pay->node);
+    rig_sleep_ms(100);
+    cr_expect_eq(fld_start_node(&r->field, pay, &e), 0);
+}
+
+static void
+fault_target_killed(rig *r)
+{
+    err e = ERR_INIT;
+    fld_instance *pay = fld_find(&r->field, "pay", 2);
+    prc_kill(&pay->target);
+    rig_sleep_ms(300);
+    cr_expect_eq(fld_start_target(&r->field, pay, &e), 0);
+}
+
+static void
+fault_answers_cut(rig *r)
+{
+    for (int i = 0; i < 3; i++) {
+        fld_admin(fld_find(&r->field, "pay", i)->port, "cut=25");
+    }
+}
+
+static void
+fault_answers_vanish(rig *r)
+{
+    for (int i = 0; i < 3; i++) {
+        fld_admin(fld_find(&r->field, "pay", i)->port, "vanish=25");
+    }
+}
+
+/* Longer than any lease: the horizon of the map is six seconds. */
+static void
+fault_node_frozen(rig *r)
+{
+    fld_instance *pay = fld_find(&r->field, "pay", 0);
+    prc_signal(pay->node, SIGSTOP);
+    rig_sleep_ms(7000);
+    prc_signal(pay->node, SIGCONT);
+}
+
+static void
+fault_node_frozen_often(rig *r)
+{
+    for (int i = 0; i < 12; i++) {
+        fld_instance *pay = fld_find(&r->field, "pay", i % 3);
+        prc_signal(pay->node, SIGSTOP);
+        rig_sleep_ms(150);
+        prc_signal(pay->node, SIGCONT);
+        rig_sleep_ms(130);
+    }
+}
+
+static void
+fault_target_frozen(rig *r)
+{
+    fld_instance *pay = fld_find(&r->field, "pay", 0);
+    prc_signal(pay->target, SIGSTOP);
+    rig_sleep_ms(2500);
+    prc_signal(pay->target, SIGCONT);
+}
+
+static void
+fault_platform_out(rig *r)
+{
+    fld_admin(r->field.platform_port, "outage=1");
+    rig_sleep_ms(3000);
+    fld_admin(r->field.platform_port, "outage=0");
+}
+
+static void
+fault_platform_cut(rig *r)
+{
+    prx_set(r->platform, PRX_HOLD);
+    rig_sleep_ms(3000);
+    prx_set(r->platform, PRX_PASS);
+}
+
+static void
+fault_platform_answers_lost(rig *r)
+{
+    fld_admin(r->field.platform_port, "lose_answers=40");
+}
+
+static void
+fault_peer_replies_cut(rig *r)
+{
+    for (int k = 0; k < 6; k++) {
+        for (size_t i = 0; i < r->field.count; i++) {
+            prx_set(r->peers[i], PRX_CUT_REPLY);
+        }
+        rig_sleep_ms(120);
+        for (size_t i = 0; i < r->field.count; i++) {
+            prx_set(r->peers[i], PRX_PASS);
+        }
+        rig_sleep_ms(200);
+    }
+}
+
+static void
+fault_peers_cut(rig *r)
+{
+    for (size_t i = 0; i < r->field.count; i += 2) {
+        prx_set(r->peers[i], PRX_CUT);
+    }
+    rig_sleep_ms(1500);
+    for (size_t i = 0; i < r->field.count; i++) {
+        prx_set(r->peers[i], PRX_PASS);
+    }
+}
+
+static void
+fault_peers_held(rig *r)
+{
+    prx_set(r->peers[3], PRX_HOLD);
+    prx_set(r->controls[3], PRX_HOLD);
+    rig_sleep_ms(2500);
+    prx_set(r->peers[3], PRX_CUT);
+    prx_set(r->controls[3], PRX_CUT);
+    rig_sleep_ms(50);
+    prx_set(r->peers[3], PRX_PASS);
+    prx_set(r->controls[3], PRX_PASS);
+}
+
+static void
+fault_peers_slow(rig *r)
+{
+    for (size_t i = 0; i < r->field.count; i++) {
+        prx_set(r->peers[i], PRX_SLOW);
+    }
+    rig_sleep_ms(2500);
+    for (size_t i = 0; i < r->field.count; i++) {
+        prx_set(r->peers[i], PRX_PASS);
+    }
+}
+
+static void
+fault_outage_and_kill(rig *r)
+{
+    fld_admin(r->field.platform_port, "outage=1");
+    rig_sleep_ms(500);
+    fault_node_replaced(r);
+    rig_sleep_ms(1500);
+    fld_admin(r->field.platform_port, "outage=0");
+}
+
+typedef struct fault_case {
+    const char *name;
+    fault_cb inject;
+} fault_case;
+
+static const fault_case fault_cases[] = {
+    {"no fault", fault_none},
+    {"target's node killed", fault_target_node_killed},
+    {"callers' node killed", fault_callers_node_killed},
+    {"node replaced, memory empty", fault_node_replaced},
+    {"target killed and back", fault_target_killed},
+    {"answers cut halfway", fault_answers_cut},
+    {"answers vanish", fault_answers_vanish},
+    {"node frozen past its lease", fault_node_frozen},
+    {"nodes frozen shortly, often", fault_node_frozen_often},
+    {"target frozen", fault_target_frozen},
+    {"platform out", fault_platform_out},
+    {"platform does not answer", fault_platform_cut},
+    {"platform's answers lost", fault_platform_answers_lost},
+    {"replies between nodes cut", fault_peer_replies_cut},
+    {"nodes cut off from each other", fault_peers_cut},
+    {"a node held, then back", fault_peers_held},
+    {"replies between nodes late", fault_peers_slow},
+    {"platform out, node replaced", fault_outage_and_kill},
+};
+
+#define FAULTS (sizeof(fault_cases) / sizeof(fault_cases[0]))
+
+/* Tests run in processes of their own, so the parameter is an index. */
+ParameterizedTestParameters(once, under_faults)
+{
+    static size_t indexes[FAULTS];
+    for (size_t i = 0; i < FAULTS; i++) {
+        indexes[i] = i;
+    }
+    return cr_make_param_array(size_t, indexes, FAULTS);
+}
+
+ParameterizedTest(size_t *index, once, under_faults)
+{
+    const fault_case *c = &fault_cases[*index];
+    static rig r;
+    rig_result result;
+    rig_start(&r, "pair", "");
+    lod_options options = rig_orders(RATE, SECONDS, 3);
+    lod *l = rig_load(&r, &options);
+    rig_sleep_ms(1000);
+    c->inject(&r);
+    rig_finish(&result, &r, l);
+    rig_sleep_ms(1000); /* for what is still on its way */
+    rig_expect_promises(&result, c->name);
+    if (c->inject == fault_none) {
+        cr_expect_eq(result.by_outcome[LOD_DONE], result.sent);
+    }
+    rig_stop(&r);
+}
+
+/* The same id at two nodes at the same moment. */
+typedef struct twin {
+    int port;
+    const char *request;
+    char outcome[HTC_TEXT_SIZE];
+    char reason[HTC_TEXT_SIZE];
+    int status;
+} twin;
+
+static void *
+send_twin(void *payload)
+{
+    twin *t = payload;
+    t->status = rig_post(t->port, "/call/front/order", t->request, 1, "{}",
+                         t->outcome, t->reason);
+    return NULL;
+}
+
+Test(once, same_id_at_two_nodes)
+{
+    static rig r;
+    int done = 0;
+    rig_start(&r, "pair", "");
+    for (int i = 0; i < 40; i++) {
+        id request;
+        pthread_t threads[2];
+        twin twins[2] = {{0}};
+        id_mint(&request, clk_wall_ms());
+        for (int k = 0; k < 2; k++) {
+            twins[k].port = fld_find(&r.field, "front", k)->callers_port;
+            twins[k].request = request.text;
+            pthread_create(&threads[k], NULL, send_twin, &twins[k]);
+        }
+        for (int k = 0; k < 2; k++) {
+            pthread_join(threads[k], NULL);
+            cr_expect_str_neq(twins[k].outcome, "not-run");
+        }
+        int runs = exl_count_id(&r.field, request.text);
+        cr_expect_eq(runs, 1, "%s ran %d times", request.text, runs);
+        done += twins[0].status == 200 || twins[1].status == 200 ? 1 : 0;
+        /* Asked again, it is answered from the record, and does not run. */
+        int status = rig_post(fld_find(&r.field, "front", 2)->callers_port,
+                              "/call/front/order", request.text, 2, "{}",
+                              twins[0].outcome, twins[0].reason);
+        cr_expect_eq(status, 200);
+        cr_expect_str_eq(twins[0].outcome, "done");
+        cr_expect_eq(exl_count_id(&r.field, request.text), 1);
+    }
+    cr_expect_eq(done, 40);
+    rig_stop(&r);
+}
--- /dev/null
+++ b/tests/integration/prx.h
@@ -0,0 +1,21 @@
+/*
+ * prx: a TCP proxy that injects faults, as threads of the test.
+ */
+#ifndef LAV_PRX_H
+#define LAV_PRX_H
+
+enum prx_mode {
+    PRX_PASS,
+    PRX_CUT,       /* closes every connection, and new ones at once */
+    PRX_HOLD,      /* takes connections and bytes, and passes nothing on */
+    PRX_CUT_REPLY, /* passes requests on, closes when the reply comes */
+    PRX_SLOW       /* passes every reply on 150 ms late */
+};
+
+typedef struct prx prx;
+
+prx *prx_start(int listen_port, int to_port);
+void prx_set(prx *p, enum prx_mode mode);
+void prx_stop(prx *p);
+
+#endif
--- /dev/null
+++ b/tests/integration/rig.c
@@ -0,0 +1,189 @@
+#include "rig.h"
+
+#include <criterion/criterion.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lav/clk.h"
+#include "lav/htc.h"
+#include "prc.h"
+
+#define RIG_SETTLE_MS 3500 /* until the maps of owners hold every instance */
+#define RIG_ANSWER_MAX (2 * 1024 * 1024)
+
+/* Folder of the built programs, set by the build. */
+#ifndef RIG_PROGRAMS
+#define RIG_PROGRAMS "build"
+#endif
+#ifndef RIG_SOURCE
+#define RIG_SOURCE "."
+#endif
+
+void
+rig_sleep_ms(int ms)
+{
+    clk_sleep_us((int64_t)ms * CLK_US_PER_MS);
+}
+
+static void
+rig_put_proxies(rig *r)
+{
+    fld *f = &r->field;
+    f->platform_advertised_port = prc_free_port();
+    r->platform = prx_start(f->platform_advertised_port, f->platform_port);
+    for (size_t i = 0; i < f->count && i < RIG_INSTANCES_MAX; i++) {
+        fld_instance *instance = &f->instances[i];
+        instance->advertised_peer_port = prc_free_port();
+        instance->advertised_control_port = prc_free_port();
+        r->peers[i] =
+            prx_start(instance->advertised_peer_port, instance->peer_port);
+        r->controls[i] = prx_start(instance->advertised_control_port,
+                                   instance->control_port);
+    }
+}
+
+/* Start a deployment of tests/integration/deployments, with proxies, and
+ * wait until it is ready.  `policy`: lines for every service, or "". */
+void
+rig_start_as(rig *r, const char *deployment, const char *policy, int slots,
+             int instances)
+{
+    char path[512];
+    err e = ERR_INIT;
+    memset(r, 0, sizeof(*r));
+    cr_assert_geq(sodium_init(), 0);
+    snprintf(path, sizeof(path),
+             RIG_SOURCE "/tests/integration/deployments/%s/deployment.toml",
+             deployment);
+    cr_assert_eq(dep_load(&r->deployment, path, &e), 0, "%s", e.message);
+    for (size_t i = 0; i < r->deployment.service_count; i++) {
+        dep_service *service = &r->deployment.services[i];
+        service->slots = slots > 0 ? slots : service->slots;
+        service->instances = instances > 0 ? instances : service->instances;
+    }
+    cr_assert_eq(fld_init(&r->field, RIG_PROGRAMS, &r->deployment, &e), 0);
+    snprintf(r->field.policy, sizeof(r->field.policy), "%s", policy);
+    rig_put_proxies(r);
+    if (fld_start(&r->field, &e) < 0) {
+        fld_stop(&r->field);
+        cr_assert_fail("%s", e.message);
+    }
+    rig_sleep_ms(RIG_SETTLE_MS);
+}
+
+void
+rig_start(rig *r, const char *deployment, const char *policy)
+{
+    rig_start_as(r, deployment, policy, 0, 0);
+}
+
+void
+rig_stop(rig *r)
+{
+    fld_stop(&r->field);
+    prx_stop(r->platform);
+    for (size_t i = 0; i < RIG_INSTANCES_MAX; i++) {
+        prx_stop(r->peers[i]);
+        prx_stop(r->controls[i]);
+    }
+}
+
+/* Orders at "front" for a while, by callers that retry elsewhere. */
+lod_options
+rig_orders(double rate, double seconds, int retries)
+{
+    lod_options options = {
+        .seed = 7, .workers = 64, .stream_count = 1, .phase_count = 1};
+    lod_stream *stream = &options.streams[0];
+    snprintf(stream->service, sizeof(stream->service), "front");
+    snprintf(stream->operation, sizeof(stream->operation), "order");
+    snprintf(stream->klass, sizeof(stream->klass), "critical");
+    stream->unrepeatable = true;
+    stream->rate = rate;
+    stream->retries = retries;
+    options.phases[0] = (lod_phase){seconds, 1};
+    return options;
+}
+
+/* Begin a load; rig_finish() ends it. */
+lod *
+rig_load(rig *r, const lod_options *options)
+{
+    lod *l = NULL;
+    err e = ERR_INIT;
+    cr_assert_eq(lod_new(&l, &r->field, options, &e), 0, "%s", e.message);
+    cr_assert_eq(lod_begin(l, &e), 0, "%s", e.message);
+    return l;
+}
+
+/* Wait for the end of a load and hold it against the logs. */
+void
+rig_finish(rig_result *out, rig *r, lod *l)
+{
+    err e = ERR_INIT;
+    memset(out, 0, sizeof(*out));
+    lod_finish(l);
+    cr_assert_eq(exl_check(&out->verdict, &r->field, l, &e), 0, "%s",
+                 e.message);
+    for (size_t i = 0; i < l->count; i++) {
+        const lod_answer *final = lod_final(&l->requests[i]);
+        if (final != NULL) {
+            out->sent++;
+            out->by_outcome[final->outcome]++;
+        }
+    }
+    lod_free(l);
+}
+
+/* What must hold whatever the fault was. */
+void
+rig_expect_promises(const rig_result *result, const char *what)
+{
+    printf("%s: %d sent, %d done, %d failed, %d not-run, %d unknown, %d "
+           "no-answer; %d run twice, %d false refusals\n",
+           what, result->sent, result->by_outcome[LOD_DONE],
+           result->by_outcome[LOD_FAILED], result->by_outcome[LOD_NOT_RUN],
+           result->by_outcome[LOD_UNKNOWN], result->by_outcome[LOD_NO_ANSWER],
+           result->verdict.run_twice, result->verdict.false_refusals);
+    fflush(stdout);
+    cr_expect_eq(result->verdict.run_twice, 0, "%s: %s ran twice", what,
+                 result->verdict.example);
+    cr_expect_eq(result->verdict.false_refusals, 0,
+                 "%s: %s was refused falsely", what, result->verdict.example);
+    cr_expect_eq(result->verdict.wrong_answers, 0, "%s: a wrong answer", what);
+    cr_expect_gt(result->by_outcome[LOD_DONE], 0, "%s: nothing done", what);
+}
+
+/* One POST to a loopback port; the HTTP status, or -1 without an answer.
+ * `out_outcome` and `out_reason` hold HTC_TEXT_SIZE bytes. */
+int
+rig_post(int port, const char *path, const char *id_text, int attempt,
+         const char *body, char *out_outcome, char *out_reason)
+{
+    char url[64];
+    char count[16];
+    htc *client = NULL;
+    htc_answer answer;
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d", port);
+    snprintf(count, sizeof(count), "%d", attempt);
+    cr_assert_eq(htc_new(&client, url, NULL), 0);
+    htc_request request = {.method = "POST",
+                           .path = path,
+                           .body = body,
+                           .length = strlen(body),
+                           .timeout_s = 40,
+                           .answer_max = RIG_ANSWER_MAX};
+    if (id_text != NULL) {
+        request.headers[0] = (htc_header){"Lav-Request-Id", id_text};
+        request.headers[1] = (htc_header){"Lav-Attempt", count};
+    }
+    int result = htc_exchange(&answer, client, &request, NULL);
+    int status = result < 0 ? -1 : answer.status;
+    memcpy(out_outcome, answer.outcome, sizeof(answer.outcome));
+    memcpy(out_reason, answer.reason, sizeof(answer.reason));
+    htc_answer_clear(&answer);
+    htc_free(client);
+    return status;
+}
