inb, sen: no refusal that can't know; level: overload is a standing queue

A node whose table of calls was full said 'not run' of a request that it had never looked at, though an earlier attempt of the same id had run. A second way to the same falsehood was found reading: a node took the caller's attempt number for proof when it agreed with its own count, which a resending HTTP library can make agree. Ruled out: the record of executions (none run twice), cancels. Change: of a named request that the router has not seen, only 'unknown' is said; the attempt number proves only a first attempt that is the first here.

--- a/lab/fld.c
+++ b/lab/fld.c
@@ -30,6 +30,7 @@
     memset(f, 0, sizeof(*f));
     f->deployment = *deployment;
     f->linger_ms = 3000;
+    f->calls_max = 2048;
     snprintf(f->programs, sizeof(f->programs), "%s", programs);
     snprintf(f->folder, sizeof(f->folder), "%s/lavenderfield-XXXXXX",
              temporary == NULL ? "/tmp" : temporary);
@@ -121,13 +122,14 @@
              "callers_port = %d\ntarget_port = %d\npeer_port = %d\n"
              "control_port = %d\nadvertised_peer_port = %d\n"
              "advertised_control_port = %d\n[platform]\n"
-             "url = \"http://127.0.0.1:%d\"\n[limits]\nlinger = \"%dms\"\n"
+             "url = \"http://127.0.0.1:%d\"\n[limits]\nlinger = "
+             "\"%dms\"\ncalls = %d\n"
              "[peers]\nseeds = [\"127.0.0.1:%d\", \"127.0.0.1:%d\"]\n",
              i->name, i->service->name, i->zone, i->callers_port,
              i->target_side_port, i->peer_port, i->control_port,
              peer != 0 ? peer : i->peer_port,
              control != 0 ? control : i->control_port, platform_port,
-             f->linger_ms, f->instances[0].control_port,
+             f->linger_ms, f->calls_max, f->instances[0].control_port,
              f->instances[f->count / 2].control_port);
     return fld_write_file(path, text, e);
 }
--- a/lab/fld.h
+++ b/lab/fld.h
@@ -36,6 +36,7 @@
     dep deployment;
     char policy[1024]; /* lines for the [policy] of every service */
     int linger_ms;
+    int calls_max; /* of callers at one node */
     bool without_targets;
     pid_t platform;
     int platform_port;
--- a/src/core/adm_level.c
+++ b/src/core/adm_level.c
@@ -1,11 +1,11 @@
 #include "adm_level.h"
 
-#define ADM_LEVEL_WINDOW_US 100000 /* 100 ms */
-#define ADM_LEVEL_WAIT_US 20000    /* a longer wait means overload */
-#define ADM_LEVEL_HEADROOM 1.02    /* arrivals taken per slot gained */
-#define ADM_LEVEL_DECAY 0.7        /* of arrivals, per window */
-#define ADM_LEVEL_STEP 12          /* priorities regained per window */
-#define ADM_LEVEL_DROP_MAX 96      /* priorities given up per window */
+#define ADM_LEVEL_WINDOW_US 100000  /* 100 ms */
+#define ADM_LEVEL_STANDING_US 10000 /* all waiting longer: overload */
+#define ADM_LEVEL_HEADROOM 1.02     /* arrivals taken per slot gained */
+#define ADM_LEVEL_DECAY 0.7         /* of arrivals, per window */
+#define ADM_LEVEL_GROWTH 0.12       /* of the level, regained per window */
+#define ADM_LEVEL_DROP_MAX 96       /* priorities given up per window */
 
 /* Start with everything admitted. */
 void
@@ -25,9 +25,8 @@
 void
 adm_level_started(adm_level_state *s, int64_t waited_us)
 {
-    s->started++;
-    if (waited_us > ADM_LEVEL_WAIT_US) {
-        s->overloaded = true;
+    if (s->started++ == 0 || waited_us < s->least_wait_us) {
+        s->least_wait_us = waited_us;
     }
 }
 
@@ -77,11 +76,12 @@
     if (now_us - s->window_start_us < ADM_LEVEL_WINDOW_US) {
         return;
     }
-    if (s->overloaded) {
+    bool standing = s->started > 0 && s->least_wait_us > ADM_LEVEL_STANDING_US;
+    if (s->overloaded || standing) {
         adm_level_lower(s);
     }
     else {
-        s->level += ADM_LEVEL_STEP;
+        s->level += 1 + (int)(s->level * ADM_LEVEL_GROWTH);
         if (s->level > ADM_LEVEL_MAX) {
             s->level = ADM_LEVEL_MAX;
         }
@@ -90,6 +90,7 @@
         s->arrivals[i] *= ADM_LEVEL_DECAY;
     }
     s->started = 0;
+    s->least_wait_us = 0;
     s->overloaded = false;
     s->window_start_us = now_us;
 }
--- a/src/core/adm_level.h
+++ b/src/core/adm_level.h
@@ -2,7 +2,9 @@
  * adm_level: the priority below which a target's node takes calls, in the
  * manner of DAGOR (Zhou et al., SoCC 2018).  Each window counts arrivals by
  * priority and calls that got a slot; under overload the level drops to
- * where the arrivals fit the slots, afterwards it rises step by step.
+ * where the arrivals fit the slots, afterwards it rises step by step.  A queue
+ * that stands through a whole window is overload (after CoDel; Nichols and
+ * Jacobson, 2012); a wait now and then is not.
  */
 #ifndef LAV_ADM_LEVEL_H
 #define LAV_ADM_LEVEL_H
@@ -16,7 +18,8 @@
     int level;                      /* calls below it are taken */
     double arrivals[ADM_LEVEL_MAX]; /* by priority, decaying */
     int started;                    /* got a slot in this window */
-    bool overloaded;                /* a call waited too long or was lost */
+    int64_t least_wait_us;          /* of these */
+    bool overloaded;                /* a call was refused for a slot */
     int64_t window_start_us;
 } adm_level_state;
 
--- a/src/core/adm_limit.c
+++ b/src/core/adm_limit.c
@@ -3,7 +3,7 @@
 #define ADM_LIMIT_WINDOW_US 200000 /* 200 ms */
 #define ADM_LIMIT_SAMPLES_MIN 5    /* finished calls that make a window */
 #define ADM_LIMIT_COLD_PART 8      /* a cold target starts at slots / 8 */
-#define ADM_LIMIT_GROWTH 1.5       /* per window while ramping */
+#define ADM_LIMIT_GROWTH 2.0       /* per window while ramping */
 #define ADM_LIMIT_DECREASE 0.9     /* per window while crowded */
 #define ADM_LIMIT_CROWDED 2.0      /* times the uncrowded time */
 #define ADM_LIMIT_FLOOR_PART 4     /* never under slots / 4 by latency */
--- a/src/node/inb.c
+++ b/src/node/inb.c
@@ -99,9 +99,36 @@
     return queued;
 }
 
+static const char *
+inb_header(struct MHD_Connection *connection, const char *name)
+{
+    return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
+}
+
+/* What may be said of a request that the router has not seen: a caller that
+ * names it may have sent it before, here or elsewhere. */
+static enum outcome
+inb_unseen_outcome(struct MHD_Connection *connection)
+{
+    bool named = inb_header(connection, "Lav-Request-Id") != NULL ||
+                 inb_header(connection, "Lav-Context") != NULL;
+    ctr_add(named ? CTR_UNKNOWN : CTR_NOT_RUN, 1);
+    return named ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+}
+
 /* Refuse a request that never became a call. */
 static enum MHD_Result
 inb_refuse(struct MHD_Connection *connection, enum reason reason)
+{
+    cal_answer answer = {.outcome = inb_unseen_outcome(connection),
+                         .reason = reason};
+    ctr_reason(reason);
+    return inb_respond(connection, &answer, "");
+}
+
+/* Refuse a request that no node would ever take, whoever sends it. */
+static enum MHD_Result
+inb_refuse_for_ever(struct MHD_Connection *connection, enum reason reason)
 {
     cal_answer answer = {.outcome = OUTCOME_NOT_RUN, .reason = reason};
     ctr_reason(reason);
@@ -123,12 +150,6 @@
     return queued;
 }
 
-static const char *
-inb_header(struct MHD_Connection *connection, const char *name)
-{
-    return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name);
-}
-
 static void
 inb_read_headers(cal_call *call, struct MHD_Connection *connection)
 {
@@ -158,7 +179,7 @@
 {
     inb *i = side->owner;
     if (request->too_large) {
-        return inb_refuse(connection, REASON_BODY_TOO_LARGE);
+        return inb_refuse_for_ever(connection, REASON_BODY_TOO_LARGE);
     }
     int handle = cal_take(i->calls);
     if (handle == CAL_NONE) {
@@ -171,7 +192,7 @@
     if (strlen(method) >= sizeof(call->method) ||
         inb_parse_path(call, request->url) < 0) {
         cal_give_back(i->calls, handle);
-        return inb_refuse(connection, REASON_UNKNOWN_OPERATION);
+        return inb_refuse_for_ever(connection, REASON_UNKNOWN_OPERATION);
     }
     snprintf(call->method, sizeof(call->method), "%s", method);
     inb_read_headers(call, connection);
@@ -181,10 +202,9 @@
     request->submitted = true;
     MHD_suspend_connection(connection);
     if (rtr_submit(i->node->router, handle) < 0) {
-        call->answer = (cal_answer){.outcome = OUTCOME_NOT_RUN,
+        call->answer = (cal_answer){.outcome = inb_unseen_outcome(connection),
                                     .reason = REASON_RING_FULL};
         ctr_reason(REASON_RING_FULL);
-        ctr_add(CTR_NOT_RUN, 1);
         MHD_resume_connection(connection);
     }
     return MHD_YES;
@@ -199,7 +219,7 @@
     const char *text = request->body == NULL ? "" : request->body;
     if (request->length > INB_ANNOUNCEMENT_MAX ||
         inb_parse_announcement(&announcement, text, &e) < 0) {
-        return inb_refuse(connection, REASON_BAD_REQUEST);
+        return inb_refuse_for_ever(connection, REASON_BAD_REQUEST);
     }
     atr_announce(i->node->admitter, &announcement);
     return inb_send_text(connection, MHD_HTTP_OK, sts_target(i->node));
--- a/src/node/rtr_start.c
+++ b/src/node/rtr_start.c
@@ -59,8 +59,8 @@
                    (int)state->policy.retry_budget, state->started_us);
     state->remembered = true;
     state->budget = seen.budget;
-    bool none_elsewhere =
-        call->earlier_not_run || call->caller_attempt == seen.attempts;
+    bool none_elsewhere = call->earlier_not_run ||
+                          (call->caller_attempt == 1 && seen.attempts == 1);
     ocm_init(&state->truth, seen.none_ran && none_elsewhere);
     if (seen.budget < 0) {
         state->budget = 0;
--- a/tests/integration/once_test.c
+++ b/tests/integration/once_test.c
@@ -244,6 +244,24 @@
     rig_stop(&r);
 }
 
+/* A full table refuses before anything is known of a request: it must not
+ * say "not run" of one that ran when it was sent before. */
+Test(once, full_tables_tell_no_lies)
+{
+    static rig r;
+    rig_result result;
+    rig_start_small(&r, "pair", 3);
+    for (int i = 0; i < 3; i++) {
+        fld_admin(fld_find(&r.field, "front", i)->port, "vanish=60");
+    }
+    lod_options options = rig_orders(400, 5, 5);
+    options.workers = 200;
+    lod *l = rig_load(&r, &options);
+    rig_finish(&result, &r, l);
+    rig_expect_promises(&result, "full tables");
+    rig_stop(&r);
+}
+
 /* The same id at two nodes at the same moment. */
 typedef struct twin {
     int port;
--- a/tests/integration/rig.c
+++ b/tests/integration/rig.c
@@ -46,9 +46,9 @@
 
 /* Start a deployment of tests/integration/deployments, with proxies, and
  * wait until it is ready.  `policy`: lines for every service, or "". */
-void
-rig_start_as(rig *r, const char *deployment, const char *policy, int slots,
-             int instances)
+static void
+rig_start_with(rig *r, const char *deployment, const char *policy,
+               int calls_max)
 {
     char path[512];
     err e = ERR_INIT;
@@ -58,13 +58,12 @@
              RIG_SOURCE "/tests/integration/deployments/%s/deployment.toml",
              deployment);
     cr_assert_eq(dep_load(&r->deployment, path, &e), 0, "%s", e.message);
-    for (size_t i = 0; i < r->deployment.service_count; i++) {
-        dep_service *service = &r->deployment.services[i];
-        service->slots = slots > 0 ? slots : service->slots;
-        service->instances = instances > 0 ? instances : service->instances;
-    }
+
     cr_assert_eq(fld_init(&r->field, RIG_PROGRAMS, &r->deployment, &e), 0);
     snprintf(r->field.policy, sizeof(r->field.policy), "%s", policy);
+    if (calls_max > 0) {
+        r->field.calls_max = calls_max;
+    }
     rig_put_proxies(r);
     if (fld_start(&r->field, &e) < 0) {
         fld_stop(&r->field);
@@ -76,7 +75,14 @@
 void
 rig_start(rig *r, const char *deployment, const char *policy)
 {
-    rig_start_as(r, deployment, policy, 0, 0);
+    rig_start_with(r, deployment, policy, 0);
+}
+
+/* The same with nodes that take `calls_max` calls of callers at a time. */
+void
+rig_start_small(rig *r, const char *deployment, int calls_max)
+{
+    rig_start_with(r, deployment, "", calls_max);
 }
 
 void
--- a/tests/integration/rig.h
+++ b/tests/integration/rig.h
@@ -28,8 +28,7 @@
 } rig_result;
 
 void rig_start(rig *r, const char *deployment, const char *policy);
-void rig_start_as(rig *r, const char *deployment, const char *policy,
-                  int slots, int instances);
+void rig_start_small(rig *r, const char *deployment, int calls_max);
 void rig_stop(rig *r);
 lod *rig_load(rig *r, const lod_options *options);
 void rig_finish(rig_result *out, rig *r, lod *l);
