--- a/include/lav/mbr.h
+++ b/include/lav/mbr.h
@@ -20,9 +20,10 @@
 
 #define MBR_MAX 2048
 #define MBR_PROBE_PERIOD_US 1000000 /* 1 s */
+#define MBR_HURRY_PERIOD_US 200000  /* ... while there is much to tell */
 #define MBR_SUSPECT_US 2000000      /* time to refute */
 #define MBR_FORGET_US 7200000000LL  /* dead members are kept for 2 h */
-#define MBR_NEWS_MAX 8              /* entries on one message */
+#define MBR_NEWS_MAX 16             /* entries on one message */
 #define MBR_NONE (-1)
 
 enum mbr_state {
@@ -61,6 +62,7 @@
 bool mbr_tick(mbr *m, int64_t now_us);
 size_t mbr_news(mbr_entry *out, mbr *m, size_t max);
 bool mbr_news_of_accused(mbr_entry *out, mbr *m, const char *name);
+size_t mbr_untold(const mbr *m);
 size_t mbr_count(const mbr *m);
 const mbr_entry *mbr_get(const mbr *m, size_t index);
 const char *mbr_state_name(enum mbr_state state);
--- a/lab/main.c
+++ b/lab/main.c
@@ -91,24 +91,25 @@
     }
 }
 
-/* Goodput in each phase, and recovery after the last but one. */
+/* Goodput in each phase, and recovery after the last but one to what it was
+ * before that. */
 static void
 lab_print_phases(const lod *l)
 {
     double at_s = 0;
-    double first = 0;
+    double before = 0;
     for (size_t i = 0; i < l->options.phase_count; i++) {
         const lod_phase *phase = &l->options.phases[i];
         double end_s = at_s + phase->seconds;
         double all = rep_goodput(l, at_s, end_s, NULL);
         double critical = rep_goodput(l, at_s, end_s, "critical");
-        first = i == 0 ? critical : first;
+        before = i + 3 == l->options.phase_count ? critical : before;
         printf("phase %zu, %.0f s at %.1fx: goodput %.1f/s, critical "
                "%.1f/s\n",
                i + 1, phase->seconds, phase->factor, all, critical);
         if (i + 2 == l->options.phase_count) {
             printf("recovery of critical goodput after phase %zu: %.1f s\n",
-                   i + 1, rep_recovery(l, end_s, first, "critical"));
+                   i + 1, rep_recovery(l, end_s, before, "critical"));
         }
         at_s = end_s;
     }
--- a/src/core/mbr.c
+++ b/src/core/mbr.c
@@ -279,6 +279,17 @@
     return count;
 }
 
+/* Entries that are still to be told. */
+size_t
+mbr_untold(const mbr *m)
+{
+    size_t untold = 0;
+    for (size_t i = 1; i < m->count; i++) {
+        untold += m->slots[i].tell > 0 ? 1 : 0;
+    }
+    return untold;
+}
+
 /* Members in the view, this node and the dead among them. */
 size_t
 mbr_count(const mbr *m)
--- a/src/node/atr.c
+++ b/src/node/atr.c
@@ -11,7 +11,7 @@
 
 #define ATR_EVENTS_MAX 4096
 #define ATR_TICK_US 5000         /* longest wait of the loop */
-#define ATR_IDLE_TICK_US 100000  /* ... while there is no call */
+#define ATR_IDLE_TICK_US 25000   /* ... while there is no call */
 #define ATR_ATTEMPTS_MAX 200000  /* remembered for DSP_KEEP_US */
 #define ATR_ANSWER_MAX 16384     /* bytes of a kept answer */
 #define ATR_ANSWERS_MAX 16777216 /* bytes of all kept answers */
@@ -89,7 +89,7 @@
     atr *a = payload;
     while (!duty_ended(&a->thread)) {
         atr_event event;
-        bool busy = adm_in_flight(a->admission) + adm_queued(a->admission) > 0;
+        bool busy = atomic_load(&a->node->load.serving) > 0;
         bool popped =
             ring_pop(&event, a->events, busy ? ATR_TICK_US : ATR_IDLE_TICK_US);
         pthread_mutex_lock(&a->lock);
--- a/src/node/dlv.c
+++ b/src/node/dlv.c
@@ -10,7 +10,7 @@
 
 #define DLV_JOBS_MAX 4096
 #define DLV_CANCELS_MAX 1024
-#define DLV_WAIT_US 200000 /* 200 ms; then a thread looks whether to end */
+#define DLV_WAIT_US 5000000 /* 5 s; closing the ring ends it sooner */
 #define DLV_CANCEL_TIMEOUT_S 1
 #define DLV_CANCEL_ANSWER_MAX 4096
 #define DLV_PATH_SIZE 128
@@ -184,6 +184,12 @@
         return;
     }
     duty_end(&d->canceller);
+    if (d->jobs != NULL) {
+        ring_close(d->jobs);
+    }
+    if (d->cancels != NULL) {
+        ring_close(d->cancels);
+    }
     for (int i = 0; i < d->thread_count; i++) {
         duty_join(&d->threads[i]);
     }
--- a/src/node/gsp.c
+++ b/src/node/gsp.c
@@ -305,7 +305,11 @@
         }
         return;
     }
-    if (now_us - g->probed_us >= MBR_PROBE_PERIOD_US) {
+    pthread_mutex_lock(&g->lock);
+    bool much = mbr_untold(g->members) > MBR_NEWS_MAX;
+    pthread_mutex_unlock(&g->lock);
+    int64_t period_us = much ? MBR_HURRY_PERIOD_US : MBR_PROBE_PERIOD_US;
+    if (now_us - g->probed_us >= period_us) {
         g->probed_us = now_us;
         gsp_probe(g);
     }
--- a/src/node/rtr.c
+++ b/src/node/rtr.c
@@ -10,7 +10,7 @@
 
 #define RTR_EVENTS_MAX 8192
 #define RTR_TICK_US 5000       /* longest wait of the loop */
-#define RTR_IDLE_TICK_US 50000 /* ... while there is no call */
+#define RTR_IDLE_TICK_US 25000 /* ... while there is no call */
 #define RTR_HANGUP_PERIOD_US 25000
 #define RTR_LEVELS_PERIOD_US 50000
 #define RTR_LEVELS_MAX 8192
@@ -203,7 +203,8 @@
     rtr *r = payload;
     while (!duty_ended(&r->thread)) {
         rtr_event event;
-        int64_t wait_us = r->active_count > 0 ? RTR_TICK_US : RTR_IDLE_TICK_US;
+        bool busy = atomic_load(&r->node->load.callers) > 0;
+        int64_t wait_us = busy ? RTR_TICK_US : RTR_IDLE_TICK_US;
         bool popped = ring_pop(&event, r->events, wait_us);
         pthread_mutex_lock(&r->lock);
         int64_t now_us = clk_now_us();
--- a/src/node/syn.c
+++ b/src/node/syn.c
@@ -17,6 +17,7 @@
 #define SYN_WATCH_MS 2500          /* one waiting watch */
 #define SYN_PAUSE_US 200000        /* after a failure */
 #define SYN_PAUSE_SPREAD_US 200000 /* ... and up to so much more */
+#define SYN_SPREAD_MAX_US 1500000  /* of reading a change */
 #define SYN_STEP_US 100000         /* of the keeper */
 #define SYN_REFRESH_US 60000000LL  /* of this node's object */
 #define SYN_LIST_US 600000000LL    /* between two lists of members */
@@ -54,6 +55,21 @@
     clk_sleep_us(SYN_PAUSE_US + (int64_t)(id_random() % SYN_PAUSE_SPREAD_US));
 }
 
+/* All nodes hear of a change at once: spread their reading of its files, one
+ * millisecond a member.  Those that wait may get them from peers meanwhile. */
+static void
+syn_spread(syn *s)
+{
+    view_read_begin();
+    int64_t most_us = (int64_t)view_fleet_get(s->node->view)->count;
+    view_read_end();
+    most_us *= CLK_US_PER_MS;
+    most_us = most_us > SYN_SPREAD_MAX_US ? SYN_SPREAD_MAX_US : most_us;
+    if (most_us > 0) {
+        clk_sleep_us((int64_t)(id_random() % (uint64_t)most_us));
+    }
+}
+
 static void
 syn_watch_main(void *payload)
 {
@@ -68,6 +84,7 @@
             continue;
         }
         if (result == 0) {
+            syn_spread(s);
             result = cfs_apply(s->node->configs, head.version, head.value,
                                syn_fetch_file, s->watch, &e);
             plt_object_clear(&head);
