level, lab: rise faster the longer it is calm; recovery by success, not by rate

Cause: the lab's recovery said 0.0 s where a tenth of the orders after the surge was still refused: it compared rates, and the queue's remains counted for the first second. The level needs 3.5 s from a surge at 10x back to all. Change: recovery is the time until every later second's requests succeed within five in a hundred of the success before the surge (stricter: it needs all later seconds, and counts by when requests were due). The level's growth of an eighth a window rises by a quarter of itself with each calm window.

--- a/include/lav/htc.h
+++ b/include/lav/htc.h
@@ -55,6 +55,8 @@
 void htc_free(htc *h);
 int htc_exchange(htc_answer *out, htc *h, const htc_request *request, err *e);
 void htc_answer_clear(htc_answer *answer);
+int htc_get_text(char **out, const char *url, const char *path, int timeout_s,
+                 size_t answer_max);
 
 #ifdef __cplusplus
 }
--- a/lab/fld.c
+++ b/lab/fld.c
@@ -289,26 +289,10 @@
 fld_get(int port, const char *path)
 {
     char url[64];
-    htc *http = NULL;
-    htc_answer answer;
-    char *body = NULL;
-    htc_request request = {.method = "GET",
-                           .path = path,
-                           .may_resend = true,
-                           .timeout_s = FLD_HTTP_TIMEOUT_S,
-                           .answer_max = FLD_ANSWER_MAX};
+    char *text = NULL;
     snprintf(url, sizeof(url), "http://127.0.0.1:%d", port);
-    if (htc_new(&http, url, NULL) < 0) {
-        return NULL;
-    }
-    if (htc_exchange(&answer, http, &request, NULL) == 0 &&
-        answer.status == 200) {
-        body = answer.body;
-        answer.body = NULL;
-    }
-    htc_answer_clear(&answer);
-    htc_free(http);
-    return body;
+    (void)htc_get_text(&text, url, path, FLD_HTTP_TIMEOUT_S, FLD_ANSWER_MAX);
+    return text;
 }
 
 /* Set switches of a stand-in, as "outage=1"; 0, or -1 without an answer. */
--- a/lab/main.c
+++ b/lab/main.c
@@ -103,18 +103,53 @@
         double end_s = at_s + phase->seconds;
         double all = rep_goodput(l, at_s, end_s, NULL);
         double critical = rep_goodput(l, at_s, end_s, "critical");
-        before = i + 3 == l->options.phase_count ? critical : before;
+        double success = rep_success(l, at_s, end_s, "critical");
+        before = i + 3 == l->options.phase_count ? success : before;
         printf("phase %zu, %.0f s at %.1fx: goodput %.1f/s, critical "
-               "%.1f/s\n",
-               i + 1, phase->seconds, phase->factor, all, critical);
+               "%.1f/s, %.1f in 100\n",
+               i + 1, phase->seconds, phase->factor, all, critical,
+               success * 100);
         if (i + 2 == l->options.phase_count) {
-            printf("recovery of critical goodput after phase %zu: %.1f s\n",
+            printf("recovery of critical requests after phase %zu: %.1f s\n",
                    i + 1, rep_recovery(l, end_s, before, "critical"));
         }
         at_s = end_s;
     }
 }
 
+/* Processor time of all nodes, and the calls that they handled. */
+typedef struct lab_work {
+    int64_t cpu_us;
+    int64_t taken;      /* calls of callers and targets */
+    int64_t dispatched; /* calls handed to targets */
+} lab_work;
+
+static lab_work
+lab_read_work(const fld *f)
+{
+    lab_work work = {0, 0, 0};
+    for (size_t i = 0; i < f->count; i++) {
+        const fld_instance *instance = &f->instances[i];
+        work.cpu_us += fld_status_int(instance, "cost", "cpu_us");
+        work.taken += fld_status_int(instance, "counters", "calls_in");
+        work.dispatched += fld_status_int(instance, "counters", "dispatched");
+    }
+    return work;
+}
+
+static void
+lab_print_work(const lab_work *before, const lab_work *after)
+{
+    int64_t calls = after->taken - before->taken;
+    if (calls > 0) {
+        printf("nodes: %lld calls taken, %lld handed to targets, %.0f us of "
+               "processor a call taken\n",
+               (long long)calls,
+               (long long)(after->dispatched - before->dispatched),
+               (double)(after->cpu_us - before->cpu_us) / (double)calls);
+    }
+}
+
 static void
 lab_write_json(const scn *s, const scn_variant *variant, const lod *l,
                const exl_verdict *verdict)
@@ -155,6 +190,7 @@
 {
     lod *l = NULL;
     exl_verdict verdict;
+    lab_work before = lab_read_work(f);
     int result = lod_new(&l, f, &s->load, e);
     if (result == 0) {
         result = lod_begin(l, e);
@@ -165,10 +201,12 @@
     }
     lab_run_faults(f, s, l);
     lod_finish(l);
+    lab_work after = lab_read_work(f);
     result = exl_check(&verdict, f, l, e);
     if (result == 0) {
         lab_print_phases(l);
         rep_print(l, &verdict);
+        lab_print_work(&before, &after);
         if (lab_json_path != NULL) {
             lab_write_json(s, variant, l, &verdict);
         }
--- a/lab/rep.c
+++ b/lab/rep.c
@@ -93,19 +93,42 @@
     return length_s;
 }
 
-/* Seconds after `end_s` until the goodput over a second is back within five
- * in a hundred of `baseline`; -1 where it never is. */
+/* Part of the requests of a class (NULL: all) due in [from_s, to_s) that
+ * became whole; 1 where there were none. */
+double
+rep_success(const lod *l, double from_s, double to_s, const char *klass)
+{
+    int due = 0;
+    int done = 0;
+    for (size_t i = 0; i < l->count; i++) {
+        const lod_request *request = &l->requests[i];
+        const lod_answer *final = lod_final(request);
+        double due_s = (double)request->due_us / CLK_US_PER_S;
+        bool counts =
+            klass == NULL ||
+            strcmp(l->options.streams[request->stream].klass, klass) == 0;
+        if (counts && due_s >= from_s && due_s < to_s) {
+            due++;
+            done += final != NULL && final->outcome == LOD_DONE ? 1 : 0;
+        }
+    }
+    return due == 0 ? 1 : (double)done / due;
+}
+
+/* Seconds after `end_s` until the requests due in any later second succeed
+ * within five in a hundred of `baseline`; -1 where the last ones do not. */
 double
 rep_recovery(const lod *l, double end_s, double baseline, const char *klass)
 {
     double last_s = rep_length_s(l) - REP_WINDOW_S;
+    double recovered_s = end_s;
     for (double at_s = end_s; at_s <= last_s; at_s += REP_STEP_S) {
-        if (rep_goodput(l, at_s, at_s + REP_WINDOW_S, klass) >=
+        if (rep_success(l, at_s, at_s + REP_WINDOW_S, klass) <
             baseline * REP_RECOVERED) {
-            return at_s - end_s;
+            recovered_s = at_s + REP_STEP_S;
         }
     }
-    return -1;
+    return recovered_s > last_s ? -1 : recovered_s - end_s;
 }
 
 static json_t *
--- a/src/core/adm_level.c
+++ b/src/core/adm_level.c
@@ -5,6 +5,7 @@
 #define ADM_LEVEL_HEADROOM 1.02     /* arrivals taken per slot gained */
 #define ADM_LEVEL_DECAY 0.7         /* of arrivals, per window */
 #define ADM_LEVEL_GROWTH 0.12       /* of the level, regained per window */
+#define ADM_LEVEL_SPEED_UP 0.25     /* more of that per calm window before */
 #define ADM_LEVEL_DROP_MAX 96       /* priorities given up per window */
 
 /* Start with everything admitted. */
@@ -69,6 +70,18 @@
     }
 }
 
+/* Carefully at first, faster the longer it has been calm. */
+static void
+adm_level_raise(adm_level_state *s)
+{
+    double growth =
+        ADM_LEVEL_GROWTH * (1 + s->calm_windows * ADM_LEVEL_SPEED_UP);
+    s->level += 1 + (int)(s->level * growth);
+    if (s->level > ADM_LEVEL_MAX) {
+        s->level = ADM_LEVEL_MAX;
+    }
+}
+
 /* Close the window where it is over. */
 void
 adm_level_tick(adm_level_state *s, int64_t now_us)
@@ -79,12 +92,11 @@
     bool standing = s->started > 0 && s->least_wait_us > ADM_LEVEL_STANDING_US;
     if (s->overloaded || standing) {
         adm_level_lower(s);
+        s->calm_windows = 0;
     }
     else {
-        s->level += 1 + (int)(s->level * ADM_LEVEL_GROWTH);
-        if (s->level > ADM_LEVEL_MAX) {
-            s->level = ADM_LEVEL_MAX;
-        }
+        adm_level_raise(s);
+        s->calm_windows++;
     }
     for (int i = 0; i < ADM_LEVEL_MAX; i++) {
         s->arrivals[i] *= ADM_LEVEL_DECAY;
--- a/src/core/adm_level.h
+++ b/src/core/adm_level.h
@@ -19,6 +19,7 @@
     double arrivals[ADM_LEVEL_MAX]; /* by priority, decaying */
     int started;                    /* got a slot in this window */
     int64_t least_wait_us;          /* of these */
+    int calm_windows;               /* since the last overload */
     bool overloaded;                /* a call was refused for a slot */
     int64_t window_start_us;
 } adm_level_state;
--- a/src/net/htc.c
+++ b/src/net/htc.c
@@ -9,6 +9,7 @@
 
 #define HTC_BLOCK_SIZE 8192 /* bytes read at a time */
 #define HTC_CONNECT_TIMEOUT_S 1
+#define HTC_STATUS_OK 200
 
 struct htc {
     ne_session *session;
@@ -183,3 +184,32 @@
     answer->body = NULL;
     answer->length = 0;
 }
+
+/* Get one text from a server and close the connection; free(*out) after. */
+int
+htc_get_text(char **out, const char *url, const char *path, int timeout_s,
+             size_t answer_max)
+{
+    htc *h = NULL;
+    htc_answer answer;
+    htc_request request = {.method = "GET",
+                           .path = path,
+                           .may_resend = true,
+                           .timeout_s = timeout_s,
+                           .answer_max = answer_max};
+    int result = htc_new(&h, url, NULL);
+    if (result < 0) {
+        return result;
+    }
+    result = htc_exchange(&answer, h, &request, NULL);
+    if (result == 0 && answer.status != HTC_STATUS_OK) {
+        result = ERR_NOT_FOUND;
+    }
+    if (result == 0) {
+        *out = answer.body;
+        answer.body = NULL;
+    }
+    htc_answer_clear(&answer);
+    htc_free(h);
+    return result;
+}
--- a/src/tools/fleet.c
+++ b/src/tools/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "lav/clk.h"
@@ -95,21 +96,12 @@
 json_t *
 fleet_ask(const fleet_node *node, const char *path)
 {
-    htc *http = NULL;
-    htc_answer answer;
-    json_t *json = NULL;
-    htc_request request = {.method = "GET",
-                           .path = path,
-                           .may_resend = true,
-                           .timeout_s = FLEET_TIMEOUT_S,
-                           .answer_max = FLEET_ANSWER_MAX};
-    if (htc_new(&http, node->url, NULL) < 0) {
+    char *text = NULL;
+    if (htc_get_text(&text, node->url, path, FLEET_TIMEOUT_S,
+                     FLEET_ANSWER_MAX) < 0) {
         return NULL;
     }
-    if (htc_exchange(&answer, http, &request, NULL) == 0) {
-        json = json_loads(answer.body, 0, NULL);
-    }
-    htc_answer_clear(&answer);
-    htc_free(http);
+    json_t *json = json_loads(text, 0, NULL);
+    free(text);
     return json;
 }
