lab: requests count while their caller waits; answers are judged in their order

Cause: without control the lab called requests whole that came 23 s after their callers had given up. And its check of refusals took the order of the log files for the order of the answers, so that a refusal of the first of three executions of one root counted as the last word (trace: not-run at .923, unknown at 2.639, run at 2.653, told as 'ran after the last refusal'). Change: a request that ends after its caller's patience (3 s) is late, not done. The check goes by the time of the answers; it still asks for no run before a refusal, and none after the last one. Also: a call that was told of its owner goes there at once instead of at the router's next tick; a confirmed cancel counts as an attempt never sent, so the call may be rerouted.

--- a/lab/exl.c
+++ b/lab/exl.c
@@ -13,8 +13,8 @@
     int runs;
     int64_t first_run_ms;
     bool unrepeatable;
-    int answers;        /* to whoever asked for it */
-    int64_t refused_ms; /* of the last "not run", or 0 */
+    int64_t refused_ms;  /* of the last "not run", or 0 */
+    int64_t answered_ms; /* of the last answer, by time, or 0 */
     bool last_was_refusal;
 } exl_history;
 
@@ -71,9 +71,11 @@
 static void
 exl_note_answer(exl_history *history, int64_t ms, bool refusal)
 {
-    history->answers++;
-    history->last_was_refusal = refusal;
-    if (refusal) {
+    if (ms >= history->answered_ms) {
+        history->answered_ms = ms;
+        history->last_was_refusal = refusal;
+    }
+    if (refusal && ms > history->refused_ms) {
         history->refused_ms = ms;
     }
 }
--- a/lab/lod.c
+++ b/lab/lod.c
@@ -25,7 +25,7 @@
 } lod_run;
 
 static const char *const lod_outcome_texts[LOD_OUTCOME_COUNT] = {
-    "done", "failed", "not-run", "unknown", "no-answer"};
+    "done", "late", "failed", "not-run", "unknown", "no-answer"};
 
 /* Text of an outcome. */
 const char *
@@ -266,6 +266,12 @@
     } while (request->attempts <= stream->retries &&
              request->attempts < LOD_ATTEMPTS_MAX);
     request->end_us = clk_now_us() - l->start_us;
+    lod_answer *final = &request->answers[request->attempts - 1];
+    double took_s = (double)(request->end_us - request->due_us) / CLK_US_PER_S;
+    if (final->outcome == LOD_DONE && stream->patience_s > 0 &&
+        took_s > stream->patience_s) {
+        final->outcome = LOD_LATE;
+    }
 }
 
 static void *
--- a/lab/lod.h
+++ b/lab/lod.h
@@ -20,7 +20,8 @@
 #define LOD_ATTEMPTS_MAX 8
 
 enum lod_outcome {
-    LOD_DONE,   /* whole, with success */
+    LOD_DONE,   /* whole, with success, while its caller waited */
+    LOD_LATE,   /* whole, but its caller had given up */
     LOD_FAILED, /* the target's own error: something below failed */
     LOD_NOT_RUN,
     LOD_UNKNOWN,
@@ -33,8 +34,9 @@
     char operation[SVC_NAME_SIZE];
     char klass[16]; /* for reports: "critical", "browse", ... */
     bool unrepeatable;
-    double rate; /* requests a second at factor 1 */
-    int retries; /* a caller tries so often again, at once */
+    double rate;       /* requests a second at factor 1 */
+    int retries;       /* a caller tries so often again, at once */
+    double patience_s; /* a caller gives up after that time */
 } lod_stream;
 
 typedef struct lod_phase {
--- a/lab/rep.c
+++ b/lab/rep.c
@@ -155,11 +155,12 @@
     rep_stream figures;
     rep_gather(&figures, l, (int)index);
     json_t *json = json_pack(
-        "{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:f}", "service",
+        "{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:f,s:f,s:f}", "service",
         stream->service, "operation", stream->operation, "class",
         stream->klass, "sent", figures.sent, "done",
-        figures.outcomes[LOD_DONE], "failed", figures.outcomes[LOD_FAILED],
-        "not_run", figures.outcomes[LOD_NOT_RUN], "unknown",
+        figures.outcomes[LOD_DONE], "late", figures.outcomes[LOD_LATE],
+        "failed", figures.outcomes[LOD_FAILED], "not_run",
+        figures.outcomes[LOD_NOT_RUN], "unknown",
         figures.outcomes[LOD_UNKNOWN], "no_answer",
         figures.outcomes[LOD_NO_ANSWER], "retries", figures.retries, "p50_ms",
         rep_percentile_ms(&figures, 0.5), "p99_ms",
@@ -188,9 +189,9 @@
 static void
 rep_print_streams(const lod *l)
 {
-    printf("%-24s %-9s %7s %7s %7s %7s %7s %7s %7s %8s %8s\n", "request",
-           "class", "sent", "done", "failed", "not-run", "unknown", "no-ans",
-           "retries", "p50 ms", "p99 ms");
+    printf("%-24s %-9s %7s %7s %6s %7s %7s %7s %7s %7s %8s %8s\n", "request",
+           "class", "sent", "done", "late", "failed", "not-run", "unknown",
+           "no-ans", "retries", "p50 ms", "p99 ms");
     for (size_t i = 0; i < l->options.stream_count; i++) {
         const lod_stream *stream = &l->options.streams[i];
         rep_stream figures;
@@ -198,11 +199,12 @@
         rep_gather(&figures, l, (int)i);
         snprintf(name, sizeof(name), "%s.%s", stream->service,
                  stream->operation);
-        printf("%-24s %-9s %7d %7d %7d %7d %7d %7d %7d %8.1f %8.1f\n", name,
-               stream->klass, figures.sent, figures.outcomes[LOD_DONE],
-               figures.outcomes[LOD_FAILED], figures.outcomes[LOD_NOT_RUN],
-               figures.outcomes[LOD_UNKNOWN], figures.outcomes[LOD_NO_ANSWER],
-               figures.retries, rep_percentile_ms(&figures, 0.5),
+        printf("%-24s %-9s %7d %7d %6d %7d %7d %7d %7d %7d %8.1f %8.1f\n",
+               name, stream->klass, figures.sent, figures.outcomes[LOD_DONE],
+               figures.outcomes[LOD_LATE], figures.outcomes[LOD_FAILED],
+               figures.outcomes[LOD_NOT_RUN], figures.outcomes[LOD_UNKNOWN],
+               figures.outcomes[LOD_NO_ANSWER], figures.retries,
+               rep_percentile_ms(&figures, 0.5),
                rep_percentile_ms(&figures, 0.99));
         free(figures.latencies_us);
     }
--- a/lab/scn.c
+++ b/lab/scn.c
@@ -11,6 +11,7 @@
 #define SCN_SECONDS_MAX_MS 300000
 #define SCN_RATE_MAX 100000
 #define SCN_WORKERS_MAX 1024
+#define SCN_PATIENCE_MS 3000
 
 typedef struct scn_loading {
     tml_doc *doc;
@@ -23,6 +24,7 @@
     bool unrepeatable;
     int64_t rate;
     int64_t retries;
+    int64_t patience_ms;
 } scn_stream_text;
 
 typedef struct scn_phase_text {
@@ -74,6 +76,8 @@
      NULL},
     {"retries", TML_INT, offsetof(scn_stream_text, retries), false, 0,
      LOD_ATTEMPTS_MAX - 1, NULL},
+    {"patience", TML_DURATION, offsetof(scn_stream_text, patience_ms), false,
+     1, SCN_SECONDS_MAX_MS, NULL},
 };
 
 static const tml_field scn_phase_fields[] = {
@@ -102,7 +106,7 @@
 {
     scn_loading *loading = payload;
     lod_options *load = &loading->out->load;
-    scn_stream_text text = {0};
+    scn_stream_text text = {.patience_ms = SCN_PATIENCE_MS};
     char table[SVC_NAME_SIZE * 2];
     snprintf(table, sizeof(table), "streams.%.40s", name);
     int result = tml_read(&text, loading->doc, table, scn_stream_fields,
@@ -125,6 +129,7 @@
     stream->unrepeatable = text.unrepeatable;
     stream->rate = (double)text.rate;
     stream->retries = (int)text.retries;
+    stream->patience_s = (double)text.patience_ms / 1000;
     return 0;
 }
 
--- a/src/node/rtr_attempt.c
+++ b/src/node/rtr_attempt.c
@@ -296,15 +296,13 @@
         state->owner = state->reason == REASON_WRONG_OWNER ? owner : 0;
         ctr_reason(REASON_RETRY_REROUTED);
         rtr_pass_over(state);
-        if (state->idempotent) {
+        if (state->idempotent || state->reroutes == 1) {
             rtr_try(r, handle, now_us);
             return;
         }
+        /* Owners are changing: give the news a moment. */
         state->phase = RTR_PAUSING;
-        state->wake_us = now_us;
-        if (state->reroutes > 1) {
-            state->wake_us += RTR_ASK_PAUSE_US;
-        }
+        state->wake_us = now_us + RTR_ASK_PAUSE_US;
         return;
     case RTY_SPEND:
         if (rtr_spend(r, state,
@@ -431,7 +429,8 @@
     }
 }
 
-/* A cancel is answered, or `event` is NULL and it is not. */
+/* A cancel is answered, or `event` is NULL and it is not.  A confirmed one
+ * is as good as an attempt that was never sent. */
 void
 rtr_cancel_over(rtr *r, int handle, const rtr_event *event, int64_t now_us)
 {
@@ -447,6 +446,6 @@
             state->reason = REASON_DEADLINE;
         }
     }
-    rtr_after_failure(r, handle, confirmed ? RTY_REFUSED : RTY_LOST, 0,
+    rtr_after_failure(r, handle, confirmed ? RTY_NOT_SENT : RTY_LOST, 0,
                       now_us);
 }
