lab: a calling target that is told 'done' has asked again

Trace of one: a browse below a history was refused at .243; the caller retried the history through another node, whose target asked for the same browse again, and was told 'done' at 2.944. The check took the refusal for the last word, as it did not read the 'done' that targets are told. Ruled out: a copy that ran after its refusal; the run lies between the second question and its answer. Change: such answers count as answers. What is asked stays: no run before a refusal, and none after the last word.

--- a/lab/exl.c
+++ b/lab/exl.c
@@ -97,8 +97,9 @@
     else if (strcmp(what, "not-run") == 0) {
         exl_note_answer(history, ms, true);
     }
-    else if (strcmp(what, "unknown") == 0) {
-        exl_note_answer(history, ms, false);
+    else if (strcmp(what, "unknown") == 0 ||
+             (strcmp(what, "done") == 0 && strchr(operation, '/') != NULL)) {
+        exl_note_answer(history, ms, false); /* told to a calling target */
     }
 }
 
