err: lint clean; errors are filled by macros that yield the code

Most were null pointers that only follow if err_set() returned 0, which the analyzer can't rule out across files.

--- a/lab/cost_main.c
+++ b/lab/cost_main.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
-#include <libgen.h>
+
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -290,7 +290,7 @@
 {
     err e = ERR_INIT;
     GError *fault = NULL;
-    char *self = strdup(argv[0]);
+
     GOptionContext *context = g_option_context_new("- what the nodes cost");
     g_option_context_add_main_entries(context, cost_entries, NULL);
     signal(SIGPIPE, SIG_IGN);
@@ -302,7 +302,7 @@
         return 2;
     }
     if (cost_programs == NULL) {
-        cost_programs = dirname(self);
+        cost_programs = g_path_get_dirname(argv[0]);
     }
     if (cost_run(cost_words[0], cost_words[1], &e) < 0) {
         fprintf(stderr, "lav-cost: %s %s\n", e.where, e.message);
--- a/lab/dep.c
+++ b/lab/dep.c
@@ -47,7 +47,7 @@
     dep *d = loading->out;
     char table[SVC_NAME_SIZE + 16];
     if (d->service_count == DEP_SERVICES_MAX) {
-        return err_set_at(e, ERR_FULL, d->folder, line, "too many services");
+        return ERR_SET_AT(e, ERR_FULL, d->folder, line, "too many services");
     }
     dep_service *service = &d->services[d->service_count++];
     snprintf(service->name, sizeof(service->name), "%s", name);
--- a/lab/lod.c
+++ b/lab/lod.c
@@ -110,14 +110,14 @@
 {
     lod *l = calloc(1, sizeof(*l));
     if (l == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "load");
+        return ERR_SET(e, ERR_NO_MEMORY, "load");
     }
     l->options = *options;
     l->field = field;
     l->requests = calloc(lod_bound(options), sizeof(*l->requests));
     if (l->requests == NULL) {
         free(l);
-        return err_set(e, ERR_NO_MEMORY, "load");
+        return ERR_SET(e, ERR_NO_MEMORY, "load");
     }
     uint64_t random = options->seed * 2654435769ULL + 1;
     double begin_s = 0;
@@ -304,7 +304,7 @@
     pthread_attr_t attr;
     l->run = calloc(1, sizeof(*l->run));
     if (l->run == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "load");
+        return ERR_SET(e, ERR_NO_MEMORY, "load");
     }
     l->run->owner = l;
     l->start_us = clk_now_us();
@@ -318,7 +318,7 @@
         l->run->worker_count++;
     }
     pthread_attr_destroy(&attr);
-    return l->run->worker_count > 0 ? 0 : err_set(e, ERR_FULL, "no thread");
+    return l->run->worker_count > 0 ? 0 : ERR_SET(e, ERR_FULL, "no thread");
 }
 
 /* Wait until every request has its final answer. */
--- a/lab/prc.c
+++ b/lab/prc.c
@@ -26,7 +26,7 @@
     pid_t parent = getpid();
     pid_t pid = fork();
     if (pid < 0) {
-        return err_set(e, ERR_FULL, "can't start %s", argv[0]);
+        return ERR_SET(e, ERR_FULL, "can't start %s", argv[0]);
     }
     if (pid == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
--- a/lab/scn.c
+++ b/lab/scn.c
@@ -116,7 +116,7 @@
     }
     char *dot = strchr(text.operation, '.');
     if (dot == NULL || load->stream_count == LOD_STREAMS_MAX) {
-        return err_set_at(e, ERR_INVALID, loading->out->name, line,
+        return ERR_SET_AT(e, ERR_INVALID, loading->out->name, line,
                           "%s: not an operation, or too many", name);
     }
     *dot = '\0';
@@ -142,7 +142,7 @@
     char table[SVC_NAME_SIZE * 2];
     snprintf(table, sizeof(table), "phases.%.40s", name);
     if (load->phase_count == LOD_PHASES_MAX) {
-        return err_set_at(e, ERR_FULL, loading->out->name, line,
+        return ERR_SET_AT(e, ERR_FULL, loading->out->name, line,
                           "too many phases");
     }
     int result = tml_read(&text, loading->doc, table, scn_phase_fields,
@@ -161,7 +161,7 @@
     char table[SVC_NAME_SIZE * 2];
     snprintf(table, sizeof(table), "faults.%.40s", name);
     if (s->fault_count == SCN_FAULTS_MAX) {
-        return err_set_at(e, ERR_FULL, s->name, line, "too many faults");
+        return ERR_SET_AT(e, ERR_FULL, s->name, line, "too many faults");
     }
     scn_fault *fault = &s->faults[s->fault_count++];
     fault->factor = 1;
@@ -178,7 +178,7 @@
     char table[SVC_NAME_SIZE * 2];
     snprintf(table, sizeof(table), "variants.%.40s", name);
     if (s->variant_count == SCN_VARIANTS_MAX) {
-        return err_set_at(e, ERR_FULL, s->name, line, "too many variants");
+        return ERR_SET_AT(e, ERR_FULL, s->name, line, "too many variants");
     }
     scn_variant *variant = &s->variants[s->variant_count++];
     snprintf(variant->name, sizeof(variant->name), "%s", name);
--- a/src/base/err.c
+++ b/src/base/err.c
@@ -16,27 +16,25 @@
     vsnprintf(e->message, sizeof(e->message), format, args);
 }
 
-/* Fill `e` (may be NULL) with a printf-style message and return `code`. */
-int
-err_set(err *e, int code, const char *format, ...)
+/* Fill `e` (may be NULL) with a printf-style message; see ERR_SET(). */
+void
+err_note(err *e, int code, const char *format, ...)
 {
     va_list args;
     va_start(args, format);
     err_fill(e, code, "", 0, format, args);
     va_end(args);
-    return code;
 }
 
-/* As err_set(), with the input file and the line (from 1) at fault. */
-int
-err_set_at(err *e, int code, const char *where, int line, const char *format,
-           ...)
+/* As err_note(), with the input file and the line (from 1) at fault. */
+void
+err_note_at(err *e, int code, const char *where, int line, const char *format,
+            ...)
 {
     va_list args;
     va_start(args, format);
     err_fill(e, code, where, line, format, args);
     va_end(args);
-    return code;
 }
 
 /* Name of an err_code for logs and JSON output. */
--- a/src/config/cfg.c
+++ b/src/config/cfg.c
@@ -27,7 +27,7 @@
     memset(out, 0, sizeof(*out));
     if (publish == NULL || !json_is_object(files) ||
         strlen(publish) >= sizeof(out->publish)) {
-        result = err_set(e, ERR_INVALID, "the head is not of a known form");
+        result = ERR_SET(e, ERR_INVALID, "the head is not of a known form");
         goto done;
     }
     snprintf(out->publish, sizeof(out->publish), "%s", publish);
@@ -37,7 +37,7 @@
     {
         const char *value = json_string_value(hash);
         if (value == NULL || strlen(value) != CFG_HASH_SIZE - 1) {
-            result = err_set(e, ERR_INVALID, "no hash for %s", service);
+            result = ERR_SET(e, ERR_INVALID, "no hash for %s", service);
             goto done;
         }
         result = cfg_head_set(out, service, value, e);
@@ -84,7 +84,7 @@
 {
     cfg_file *file = cfg_head_find(head, service);
     if (file == NULL && head->count == LAND_SERVICES_MAX) {
-        return err_set(e, ERR_FULL, "more than %d services",
+        return ERR_SET(e, ERR_FULL, "more than %d services",
                        LAND_SERVICES_MAX);
     }
     if (file == NULL) {
@@ -110,7 +110,7 @@
     free(text);
     if (result == 0 && strcmp((*out)->name, file->service) != 0) {
         svc_free(*out);
-        return err_set_at(e, ERR_INVALID, path, 1,
+        return ERR_SET_AT(e, ERR_INVALID, path, 1,
                           "the file is of another service");
     }
     return result;
--- a/src/config/land.c
+++ b/src/config/land.c
@@ -19,9 +19,9 @@
     for (size_t i = 0; i < l->service_count; i++) {
         total += l->services[i]->operation_count;
     }
-    l->operations = calloc(total, sizeof(*l->operations));
+    l->operations = calloc(total + 1, sizeof(*l->operations));
     if (l->operations == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "landscape");
+        return ERR_SET(e, ERR_NO_MEMORY, "landscape");
     }
     for (size_t i = 0; i < l->service_count; i++) {
         for (size_t j = 0; j < l->services[i]->operation_count; j++) {
@@ -41,14 +41,14 @@
         const char *name = op->source->calls.items[i];
         land_op to = land_find_dotted(l, name);
         if (to == LAND_NONE) {
-            return err_set_at(e, ERR_INVALID, land_path(l, from),
+            return ERR_SET_AT(e, ERR_INVALID, land_path(l, from),
                               op->source->line,
                               "%s: calls %s, which no file describes",
                               op->source->name, name);
         }
         if (l->operations[to].source->caller_wait_ms >
             op->source->caller_wait_ms) {
-            return err_set_at(e, ERR_INVALID, land_path(l, from),
+            return ERR_SET_AT(e, ERR_INVALID, land_path(l, from),
                               op->source->line,
                               "%s: caller_wait is shorter than that of %s",
                               op->source->name, name);
@@ -64,13 +64,13 @@
 {
     const land_operation *op = &l->operations[at];
     if (depth > 1 && at == root) {
-        return err_set_at(e, ERR_INVALID, land_path(l, root),
+        return ERR_SET_AT(e, ERR_INVALID, land_path(l, root),
                           l->operations[root].source->line,
                           "%s: its calls form a cycle",
                           l->operations[root].source->name);
     }
     if (depth > LAND_DEPTH_MAX) {
-        return err_set_at(e, ERR_INVALID, land_path(l, root),
+        return ERR_SET_AT(e, ERR_INVALID, land_path(l, root),
                           l->operations[root].source->line,
                           "%s: a cycle below it, or a chain deeper than %d",
                           l->operations[root].source->name, LAND_DEPTH_MAX);
@@ -107,7 +107,7 @@
 {
     for (size_t i = 0; i < l->service_count; i++) {
         if (land_service_find(l, l->services[i]->name) != (int)i) {
-            return err_set_at(e, ERR_INVALID, l->services[i]->path, 1,
+            return ERR_SET_AT(e, ERR_INVALID, l->services[i]->path, 1,
                               "service %s has two files",
                               l->services[i]->name);
         }
@@ -125,7 +125,7 @@
         for (size_t i = 0; i < count; i++) {
             svc_free(files[i]);
         }
-        return err_set(e, ERR_FULL, "more than %d services",
+        return ERR_SET(e, ERR_FULL, "more than %d services",
                        LAND_SERVICES_MAX);
     }
     for (size_t i = 0; i < count; i++) {
--- a/src/config/nst.c
+++ b/src/config/nst.c
@@ -110,23 +110,23 @@
 {
     FILE *file = fopen(path, "rb");
     if (file == NULL) {
-        return err_set_at(e, ERR_IO, path, 0, "can't be opened");
+        return ERR_SET_AT(e, ERR_IO, path, 0, "can't be opened");
     }
     int result = 0;
     char *text = malloc(size_max + 1);
     if (text == NULL) {
-        result = err_set(e, ERR_NO_MEMORY, "%s", path);
+        result = ERR_SET(e, ERR_NO_MEMORY, "%s", path);
         goto done;
     }
     size_t length = fread(text, 1, size_max + 1, file);
     if (ferror(file) || length > size_max) {
-        result = err_set_at(e, ERR_INVALID, path, 0,
+        result = ERR_SET_AT(e, ERR_INVALID, path, 0,
                             "can't be read, or is over %zu bytes", size_max);
         goto done;
     }
     text[length] = '\0';
     if (strlen(text) != length) {
-        result = err_set_at(e, ERR_INVALID, path, 0, "holds a NUL byte");
+        result = ERR_SET_AT(e, ERR_INVALID, path, 0, "holds a NUL byte");
         goto done;
     }
     *out = text;
--- a/src/config/svc.c
+++ b/src/config/svc.c
@@ -109,12 +109,12 @@
     svc_parser *parser = payload;
     svc_file *file = parser->file;
     if (!svc_name_valid(name)) {
-        return err_set_at(e, ERR_INVALID, file->path, line,
+        return ERR_SET_AT(e, ERR_INVALID, file->path, line,
                           "%s: names are lower-case letters, digits and '-'",
                           name);
     }
     if (file->operation_count == SVC_OPERATIONS_MAX) {
-        return err_set_at(e, ERR_INVALID, file->path, line,
+        return ERR_SET_AT(e, ERR_INVALID, file->path, line,
                           "more than %d operations", SVC_OPERATIONS_MAX);
     }
     svc_operation *operation = &file->operations[file->operation_count++];
@@ -133,7 +133,7 @@
     tml_doc *doc = NULL;
     svc_file *file = calloc(1, sizeof(*file));
     if (file == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "service file");
+        return ERR_SET(e, ERR_NO_MEMORY, "service file");
     }
     snprintf(file->path, sizeof(file->path), "%s", path);
     file->policy = svc_policy_default;
@@ -154,7 +154,7 @@
     }
     if (!svc_name_valid(file->name)) {
         result =
-            err_set_at(e, ERR_INVALID, path, tml_line(doc, "service", "name"),
+            ERR_SET_AT(e, ERR_INVALID, path, tml_line(doc, "service", "name"),
                        "name: lower-case letters, digits and '-' only");
         goto done;
     }
@@ -165,7 +165,7 @@
     }
     result = tml_each(doc, "operations", svc_parse_operation, e, &parser);
     if (result == 0 && file->operation_count == 0) {
-        result = err_set_at(e, ERR_INVALID, path, 1, "no operations");
+        result = ERR_SET_AT(e, ERR_INVALID, path, 1, "no operations");
     }
 done:
     tml_free(doc);
--- a/src/config/tml.cpp
+++ b/src/config/tml.cpp
@@ -22,7 +22,7 @@
       const char *reason)
 {
     int line = node ? (int)node->source().begin.line : 0;
-    return err_set_at(e, ERR_INVALID, doc->path.c_str(), line, "%s: %s", key,
+    return ERR_SET_AT(e, ERR_INVALID, doc->path.c_str(), line, "%s: %s", key,
                       reason);
 }
 
@@ -184,11 +184,11 @@
         *out = new tml_doc{toml::parse(std::string_view(text)), path};
         return 0;
     } catch (const toml::parse_error &error) {
-        return err_set_at(e, ERR_INVALID, path,
+        return ERR_SET_AT(e, ERR_INVALID, path,
                           (int)error.source().begin.line, "%s",
                           std::string(error.description()).c_str());
     } catch (const std::exception &error) {
-        return err_set_at(e, ERR_NO_MEMORY, path, 0, "%s", error.what());
+        return ERR_SET_AT(e, ERR_NO_MEMORY, path, 0, "%s", error.what());
     }
 }
 
--- a/src/net/htc.c
+++ b/src/net/htc.c
@@ -39,7 +39,7 @@
         strcmp(uri.scheme, "http") != 0) {
         ne_uri_free(&uri);
         free(h);
-        return err_set(e, ERR_INVALID, "not an address of a server: %s", url);
+        return ERR_SET(e, ERR_INVALID, "not an address of a server: %s", url);
     }
     h->session = ne_session_create(uri.scheme, uri.host, uri.port);
     ne_set_connect_timeout(h->session, HTC_CONNECT_TIMEOUT_S);
@@ -72,28 +72,28 @@
     size_t room = HTC_BLOCK_SIZE;
     out->body = malloc(room + 1);
     if (out->body == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "answer");
+        return ERR_SET(e, ERR_NO_MEMORY, "answer");
     }
     for (;;) {
         if (room - out->length < HTC_BLOCK_SIZE) {
             room *= 2;
             char *larger = realloc(out->body, room + 1);
             if (larger == NULL) {
-                return err_set(e, ERR_NO_MEMORY, "answer");
+                return ERR_SET(e, ERR_NO_MEMORY, "answer");
             }
             out->body = larger;
         }
         ssize_t count = ne_read_response_block(
             request, out->body + out->length, HTC_BLOCK_SIZE);
         if (count < 0) {
-            return err_set(e, ERR_UNKNOWN, "the answer was cut off");
+            return ERR_SET(e, ERR_UNKNOWN, "the answer was cut off");
         }
         if (count == 0) {
             break;
         }
         out->length += (size_t)count;
         if (out->length > answer_max) {
-            return err_set(e, ERR_FULL, "the answer is over %zu bytes",
+            return ERR_SET(e, ERR_FULL, "the answer is over %zu bytes",
                            answer_max);
         }
     }
@@ -127,7 +127,7 @@
     if (begun != NE_OK) {
         h->connected = false;
         bool never_sent = begun == NE_CONNECT && !was_connected;
-        return err_set(e, never_sent ? ERR_UNAVAILABLE : ERR_UNKNOWN, "%s",
+        return ERR_SET(e, never_sent ? ERR_UNAVAILABLE : ERR_UNKNOWN, "%s",
                        ne_get_error(h->session));
     }
     out->resent = was_connected && h->connects > 0;
@@ -142,7 +142,7 @@
                     "Lav-Request-Id");
     int result = htc_read_body(out, request, source->answer_max, e);
     if (result == 0 && ne_end_request(request) != NE_OK) {
-        result = err_set(e, ERR_UNKNOWN, "%s", ne_get_error(h->session));
+        result = ERR_SET(e, ERR_UNKNOWN, "%s", ne_get_error(h->session));
     }
     h->connected = result == 0;
     return result;
--- a/src/net/msg.c
+++ b/src/net/msg.c
@@ -400,12 +400,12 @@
 {
     memset(out, 0, sizeof(*out));
     if (length > MSG_SIZE_MAX) {
-        return err_set(e, ERR_INVALID, "message of %zu bytes", length);
+        return ERR_SET(e, ERR_INVALID, "message of %zu bytes", length);
     }
     struct cbor_load_result load;
     cbor_item_t *item = cbor_load((const unsigned char *)bytes, length, &load);
     if (item == NULL) {
-        return err_set(e, ERR_INVALID, "not CBOR at byte %zu",
+        return ERR_SET(e, ERR_INVALID, "not CBOR at byte %zu",
                        load.error.position);
     }
     int result = ERR_INVALID;
@@ -419,7 +419,7 @@
     }
     if (result < 0) {
         msg_clear(out);
-        return err_set(e, result, "message is not of a known form");
+        return ERR_SET(e, result, "message is not of a known form");
     }
     return 0;
 }
--- a/src/net/plt.c
+++ b/src/net/plt.c
@@ -27,7 +27,7 @@
 {
     plt *p = calloc(1, sizeof(*p));
     if (p == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "platform client");
+        return ERR_SET(e, ERR_NO_MEMORY, "platform client");
     }
     int result = htc_new(&p->client, url, e);
     if (result < 0) {
@@ -65,7 +65,7 @@
     ctr_add(reads ? CTR_PLATFORM_READS : CTR_PLATFORM_WRITES, 1);
     int result = htc_exchange(answer, p->client, request, e);
     if (result == 0 && answer->status >= 500) {
-        result = err_set(e, reads ? ERR_UNAVAILABLE : ERR_UNKNOWN,
+        result = ERR_SET(e, reads ? ERR_UNAVAILABLE : ERR_UNKNOWN,
                          "the platform answers %d", answer->status);
     }
     if (result < 0) {
@@ -90,12 +90,12 @@
     }
     if (answer.status == PLT_STATUS_NOT_FOUND ||
         answer.status == PLT_STATUS_NOT_MODIFIED) {
-        result = err_set(e, ERR_NOT_FOUND, "nothing new at %s", path);
+        result = ERR_SET(e, ERR_NOT_FOUND, "nothing new at %s", path);
         goto done;
     }
     out->version = plt_version(answer.etag);
     if (answer.status != PLT_STATUS_OK || out->version == 0) {
-        result = err_set(e, ERR_INVALID, "the platform answers %d for %s",
+        result = ERR_SET(e, ERR_INVALID, "the platform answers %d for %s",
                          answer.status, path);
         goto done;
     }
@@ -143,15 +143,16 @@
         request->headers[0] = (htc_header){"If-Match", match};
     }
     int result = plt_exchange(&answer, p, request, e);
+    request->headers[0] = (htc_header){NULL, NULL};
     if (result == 0 && answer.status == PLT_STATUS_CONFLICT) {
-        result = err_set(e, ERR_CONFLICT, "the version is %" PRIu64 " now",
+        result = ERR_SET(e, ERR_CONFLICT, "the version is %" PRIu64 " now",
                          plt_version(answer.etag));
     }
     else if (result == 0 && answer.status == PLT_STATUS_NOT_FOUND) {
-        result = err_set(e, ERR_NOT_FOUND, "no object at %s", request->path);
+        result = ERR_SET(e, ERR_NOT_FOUND, "no object at %s", request->path);
     }
     else if (result == 0 && answer.status != PLT_STATUS_OK) {
-        result = err_set(e, ERR_INVALID, "the platform answers %d for %s",
+        result = ERR_SET(e, ERR_INVALID, "the platform answers %d for %s",
                          answer.status, request->path);
     }
     if (result == 0 && out_version != NULL) {
@@ -200,7 +201,7 @@
     json_t *list = json_loads(text, 0, NULL);
     if (!json_is_array(list)) {
         json_decref(list);
-        return err_set(e, ERR_INVALID, "the platform's list is not JSON");
+        return ERR_SET(e, ERR_INVALID, "the platform's list is not JSON");
     }
     int result = 0;
     size_t index;
@@ -240,7 +241,7 @@
     int result = plt_exchange(&answer, p, &request, e);
     if (result == 0 && answer.status != PLT_STATUS_OK) {
         result =
-            err_set(e, ERR_INVALID, "the platform answers %d", answer.status);
+            ERR_SET(e, ERR_INVALID, "the platform answers %d", answer.status);
     }
     if (result == 0) {
         result = plt_list_items(answer.body, callback, payload, e);
--- a/src/node/ask.c
+++ b/src/node/ask.c
@@ -40,16 +40,16 @@
     size_t answer_length = 0;
     snprintf(url, sizeof(url), "tcp://%s:%u", address, port);
     if (msg_encode(&bytes, &length, question) < 0) {
-        return err_set(e, ERR_NO_MEMORY, "question");
+        return ERR_SET(e, ERR_NO_MEMORY, "question");
     }
     int result = ask_open(&socket, url, wait_ms);
     if (result < 0) {
         free(bytes);
-        return err_set(e, result, "no connection to %s", url);
+        return ERR_SET(e, result, "no connection to %s", url);
     }
     if (nng_send(socket, bytes, length, 0) != 0 ||
         nng_recv(socket, &answer, &answer_length, NNG_FLAG_ALLOC) != 0) {
-        result = err_set(e, ERR_UNAVAILABLE, "no answer of %s", url);
+        result = ERR_SET(e, ERR_UNAVAILABLE, "no answer of %s", url);
     }
     else {
         ctr_add(CTR_GOSSIP_BYTES, length + answer_length);
--- a/src/node/atr.c
+++ b/src/node/atr.c
@@ -128,7 +128,7 @@
 {
     atr *a = calloc(1, sizeof(*a));
     if (a == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "admitter");
+        return ERR_SET(e, ERR_NO_MEMORY, "admitter");
     }
     a->node = n;
     pthread_mutex_init(&a->lock, NULL);
@@ -138,7 +138,7 @@
     }
     if (result < 0) {
         atr_free(a);
-        return err_set(e, result, "admitter");
+        return ERR_SET(e, result, "admitter");
     }
     *out = a;
     return 0;
--- a/src/node/cal.c
+++ b/src/node/cal.c
@@ -42,7 +42,7 @@
     if (c == NULL) {
         return;
     }
-    for (size_t i = 0; i < c->size; i++) {
+    for (size_t i = 0; c->calls != NULL && i < c->size; i++) {
         free(c->calls[i].body.bytes);
         free(c->calls[i].answer.body.bytes);
     }
--- a/src/node/cfs.c
+++ b/src/node/cfs.c
@@ -31,7 +31,7 @@
 {
     cfs *c = calloc(1, sizeof(*c));
     if (c == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "configuration");
+        return ERR_SET(e, ERR_NO_MEMORY, "configuration");
     }
     c->node = n;
     pthread_mutex_init(&c->lock, NULL);
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -85,7 +85,7 @@
 {
     ctl *c = calloc(1, sizeof(*c));
     if (c == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "control");
+        return ERR_SET(e, ERR_NO_MEMORY, "control");
     }
     c->node = n;
     n->control = c;
--- a/src/node/dlv.c
+++ b/src/node/dlv.c
@@ -156,7 +156,7 @@
 {
     dlv *d = calloc(1, sizeof(*d));
     if (d == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "deliverer");
+        return ERR_SET(e, ERR_NO_MEMORY, "deliverer");
     }
     d->callback = callback;
     d->payload = payload;
@@ -170,7 +170,7 @@
     }
     if (result < 0) {
         dlv_free(d);
-        return err_set(e, result, "deliverer");
+        return ERR_SET(e, result, "deliverer");
     }
     *out = d;
     return 0;
--- a/src/node/duty.c
+++ b/src/node/duty.c
@@ -22,7 +22,7 @@
     int failed = pthread_create(&d->thread, &attr, duty_main, d);
     pthread_attr_destroy(&attr);
     if (failed != 0) {
-        return err_set(e, ERR_FULL, "no thread can be started");
+        return ERR_SET(e, ERR_FULL, "no thread can be started");
     }
     d->started = true;
     return 0;
--- a/src/node/gsp.c
+++ b/src/node/gsp.c
@@ -57,7 +57,7 @@
     gsp_fill_self(&self, n);
     if (g == NULL || mbr_new(&g->members, &self) < 0) {
         free(g);
-        return err_set(e, ERR_NO_MEMORY, "gossip");
+        return ERR_SET(e, ERR_NO_MEMORY, "gossip");
     }
     g->node = n;
     g->changed = true;
@@ -153,7 +153,7 @@
     }
     if (out->kind != MSG_OBJECT || out->object.version == 0) {
         msg_clear(out);
-        return err_set(e, ERR_NOT_FOUND, "%s does not hold %s", peer->address,
+        return ERR_SET(e, ERR_NOT_FOUND, "%s does not hold %s", peer->address,
                        key);
     }
     return 0;
--- a/src/node/inb.c
+++ b/src/node/inb.c
@@ -347,7 +347,7 @@
     struct sockaddr_in bound = {.sin_family = AF_INET,
                                 .sin_port = htons((uint16_t)port)};
     if (inet_pton(AF_INET, address, &bound.sin_addr) != 1) {
-        return err_set(e, ERR_INVALID, "not an address: %s", address);
+        return ERR_SET(e, ERR_INVALID, "not an address: %s", address);
     }
     side->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME,
@@ -358,7 +358,7 @@
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)INB_IDLE_TIMEOUT_S,
         MHD_OPTION_END);
     if (side->daemon == NULL) {
-        return err_set(e, ERR_IO, "can't listen at %s:%lld", address,
+        return ERR_SET(e, ERR_IO, "can't listen at %s:%lld", address,
                        (long long)port);
     }
     return 0;
@@ -370,7 +370,7 @@
 {
     inb *i = calloc(1, sizeof(*i));
     if (i == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "inbound");
+        return ERR_SET(e, ERR_NO_MEMORY, "inbound");
     }
     i->node = n;
     i->calls = calls;
--- a/src/node/inb_parse.c
+++ b/src/node/inb_parse.c
@@ -98,12 +98,12 @@
         json_unpack_ex(json, &fault, JSON_STRICT, "{s:s,s:i,s:b,s:b,s:I}",
                        "url", &url, "slots", &out->slots, "draining",
                        &draining, "cold", &cold, "start", &start) != 0) {
-        result = err_set(e, ERR_INVALID, "announcement: %s", fault.text);
+        result = ERR_SET(e, ERR_INVALID, "announcement: %s", fault.text);
         goto done;
     }
     if (out->slots < 1 || out->slots > NODE_SLOTS_MAX ||
         strlen(url) >= sizeof(out->url)) {
-        result = err_set(e, ERR_INVALID,
+        result = ERR_SET(e, ERR_INVALID,
                          "announcement: slots are 1 to %d, the url is short",
                          NODE_SLOTS_MAX);
         goto done;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -43,7 +43,7 @@
 {
     if (view_new(&n->view) < 0 || tok_new(&n->tokens, NODE_RECEIVE_MAX) < 0 ||
         xpl_new(&n->decisions, NODE_DECISIONS_MAX) < 0) {
-        return err_set(e, ERR_NO_MEMORY, "node");
+        return ERR_SET(e, ERR_NO_MEMORY, "node");
     }
     int result = cfs_new(&n->configs, n, e);
     if (result == 0) {
@@ -57,7 +57,7 @@
 {
     int result = cal_new(&n->calls, (size_t)n->settings.calls_max);
     if (result < 0) {
-        return err_set(e, result, "calls");
+        return ERR_SET(e, result, "calls");
     }
     result = dlv_new(&n->deliverer, atr_delivered, n, e);
     if (result == 0) {
@@ -96,7 +96,7 @@
 {
     node *n = calloc(1, sizeof(*n));
     if (n == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "node");
+        return ERR_SET(e, ERR_NO_MEMORY, "node");
     }
     n->settings = *settings;
     n->incarnation = mbr_incarnation(clk_wall_ms());
--- a/src/node/own.c
+++ b/src/node/own.c
@@ -56,7 +56,7 @@
     int result = own_parse_json(out, json);
     json_decref(json);
     if (result < 0) {
-        return err_set(e, result, "the map of owners is not of a known form");
+        return ERR_SET(e, result, "the map of owners is not of a known form");
     }
     return 0;
 }
--- a/src/node/per.c
+++ b/src/node/per.c
@@ -52,7 +52,7 @@
 {
     per *p = calloc(1, sizeof(*p));
     if (p == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "peers");
+        return ERR_SET(e, ERR_NO_MEMORY, "peers");
     }
     pthread_mutex_init(&p->lock, NULL);
     p->callback = callback;
@@ -61,7 +61,7 @@
     p->free_list = calloc(attempts_max, sizeof(*p->free_list));
     if (p->attempts == NULL || p->free_list == NULL) {
         per_free(p);
-        return err_set(e, ERR_NO_MEMORY, "peers");
+        return ERR_SET(e, ERR_NO_MEMORY, "peers");
     }
     p->attempt_count = attempts_max;
     for (size_t i = 0; i < attempts_max; i++) {
--- a/src/node/rtr.c
+++ b/src/node/rtr.c
@@ -233,7 +233,7 @@
         ans_new(&r->answers, attempts) < 0 ||
         lvl_new(&r->levels, RTR_LEVELS_MAX) < 0 ||
         ins_new(&r->instances) < 0 || sen_new(&r->seen, RTR_SEEN_MAX) < 0) {
-        return err_set(e, ERR_NO_MEMORY, "router");
+        return ERR_SET(e, ERR_NO_MEMORY, "router");
     }
     int result = per_new(&r->attempts, attempts, rtr_attempt_told, r, e);
     if (result == 0) {
@@ -248,7 +248,7 @@
 {
     rtr *r = calloc(1, sizeof(*r));
     if (r == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "router");
+        return ERR_SET(e, ERR_NO_MEMORY, "router");
     }
     r->node = n;
     r->calls = calls;
--- a/src/node/srv.c
+++ b/src/node/srv.c
@@ -100,7 +100,7 @@
         failed = nng_listener_start(listener, 0);
     }
     if (failed != 0) {
-        return err_set(e, ERR_IO, "can't listen at %s: %s", url,
+        return ERR_SET(e, ERR_IO, "can't listen at %s: %s", url,
                        nng_strerror(failed));
     }
     return 0;
@@ -114,14 +114,14 @@
     srv *s = calloc(1, sizeof(*s));
     if (s == NULL || nng_rep0_open(&s->socket) != 0) {
         free(s);
-        return err_set(e, ERR_NO_MEMORY, "server");
+        return ERR_SET(e, ERR_NO_MEMORY, "server");
     }
     s->callback = callback;
     s->payload = payload;
     s->slots = calloc(slots, sizeof(*s->slots));
     if (s->slots == NULL) {
         srv_free(s);
-        return err_set(e, ERR_NO_MEMORY, "server");
+        return ERR_SET(e, ERR_NO_MEMORY, "server");
     }
     nng_socket_set_size(s->socket, NNG_OPT_RECVMAXSZ, MSG_SIZE_MAX);
     for (; s->count < slots; s->count++) {
@@ -130,7 +130,7 @@
         if (nng_ctx_open(&slot->context, s->socket) != 0 ||
             nng_aio_alloc(&slot->aio, srv_step, slot) != 0) {
             srv_free(s);
-            return err_set(e, ERR_NO_MEMORY, "server");
+            return ERR_SET(e, ERR_NO_MEMORY, "server");
         }
     }
     int result = srv_listen(s, address, port, e);
@@ -153,7 +153,7 @@
         return;
     }
     nng_close(s->socket);
-    for (size_t i = 0; i < s->count; i++) {
+    for (size_t i = 0; s->slots != NULL && i < s->count; i++) {
         nng_aio_stop(s->slots[i].aio);
         nng_aio_free(s->slots[i].aio);
     }
--- a/src/node/syn.c
+++ b/src/node/syn.c
@@ -181,7 +181,7 @@
 {
     syn *s = calloc(1, sizeof(*s));
     if (s == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "platform");
+        return ERR_SET(e, ERR_NO_MEMORY, "platform");
     }
     s->node = n;
     syn_owners_init(&s->owners, n);
--- a/src/tools/fleet.c
+++ b/src/tools/fleet.c
@@ -61,7 +61,7 @@
     snprintf(asked.url, sizeof(asked.url), "%s", url);
     json_t *status = fleet_ask(&asked, "/lav/status");
     if (status == NULL) {
-        return err_set(e, ERR_UNAVAILABLE, "no answer of %s", url);
+        return ERR_SET(e, ERR_UNAVAILABLE, "no answer of %s", url);
     }
     json_array_foreach(json_object_get(status, "members"), index, member)
     {
--- a/src/tools/publisher.c
+++ b/src/tools/publisher.c
@@ -75,7 +75,7 @@
             before = p->options->expect;
         }
         if (strcmp(now, before) != 0) {
-            return err_set(e, ERR_CONFLICT,
+            return ERR_SET(e, ERR_CONFLICT,
                            "%s was changed by somebody else: version %" PRIu64
                            " holds %s",
                            name, p->version, now[0] == '\0' ? "none" : now);
@@ -140,7 +140,7 @@
     land_free(landscape);
     char *text = cfg_head_format(&next);
     if (text == NULL) {
-        return err_set(e, ERR_NO_MEMORY, "head");
+        return ERR_SET(e, ERR_NO_MEMORY, "head");
     }
     result = plt_put(&p->version, p->platform, CFG_HEAD_KEY, text,
                      strlen(text), p->version, e);
@@ -165,7 +165,7 @@
     result = publisher_check_conflict(p, e);
     if (result < 0) {
         if (p->sent) {
-            return err_set(e, ERR_UNKNOWN,
+            return ERR_SET(e, ERR_UNKNOWN,
                            "the answer to the write was lost, and version "
                            "%" PRIu64 " holds another file by now",
                            p->version);
@@ -178,7 +178,7 @@
     }
     result = publisher_write_head(p, e);
     if (result == ERR_CONFLICT) {
-        return err_set(e, ERR_UNAVAILABLE, "the head was being changed");
+        return ERR_SET(e, ERR_UNAVAILABLE, "the head was being changed");
     }
     return result;
 }
@@ -193,7 +193,7 @@
 publisher_give_up(const publisher *p, int result, err *e)
 {
     if (p->sent && publisher_worth_a_try(result)) {
-        return err_set(e, ERR_UNKNOWN,
+        return ERR_SET(e, ERR_UNKNOWN,
                        "the answer to the write was lost, and the platform "
                        "can't be read");
     }
--- a/src/tools/tool.c
+++ b/src/tools/tool.c
@@ -44,7 +44,7 @@
     *out_count = 0;
     for (char **path = paths; path != NULL && *path != NULL; path++) {
         if (*out_count == TOOL_FILES_MAX) {
-            return err_set(e, ERR_FULL, "more than %d files", TOOL_FILES_MAX);
+            return ERR_SET(e, ERR_FULL, "more than %d files", TOOL_FILES_MAX);
         }
         tool_file *file = &out[*out_count];
         *file = (tool_file){0};
