rte, level: unrepeatable calls meet their owner's level, not the best one

Cause: with the deepest service slowed to a fifth, 478 orders failed below the top after work was done for them, and few were refused at the top. The level that travels up was the highest of the instances, which decays to 'everything' in about a second where it is not refreshed; but the instance of an unrepeatable call is given by its id, so the best instance says nothing. And a slow target starts one call in a window of 100 ms, too few to tell what fits, so its level fell to nothing and crept back. Change: for unrepeatable calls the mean of the instances' levels travels up, and the owner's own level decides at its caller's node; an overloaded window stays open until 8 calls started, 400 ms at most.

--- a/include/lav/rte.h
+++ b/include/lav/rte.h
@@ -29,6 +29,7 @@
 int rte_pick(const rte_candidate *candidates, size_t count, int priority,
              uint64_t random);
 int rte_owner(const rte_candidate *candidates, size_t count, uint64_t hash);
+int rte_mean_level(const rte_candidate *candidates, size_t count);
 bool rte_refused_early(const rte_candidate *candidates, size_t count,
                        int priority);
 
--- a/src/core/adm_level.c
+++ b/src/core/adm_level.c
@@ -1,12 +1,14 @@
 #include "adm_level.h"
 
-#define ADM_LEVEL_WINDOW_US 100000  /* 100 ms */
-#define ADM_LEVEL_STANDING_US 10000 /* all waiting longer: overload */
-#define ADM_LEVEL_HEADROOM 1.02     /* arrivals taken per slot gained */
-#define ADM_LEVEL_DECAY 0.7         /* of arrivals, per window */
-#define ADM_LEVEL_GROWTH 0.12       /* of the level, regained per window */
-#define ADM_LEVEL_SPEED_UP 0.25     /* more of that per calm window before */
-#define ADM_LEVEL_DROP_MAX 96       /* priorities given up per window */
+#define ADM_LEVEL_WINDOW_US 100000     /* 100 ms */
+#define ADM_LEVEL_WINDOW_MAX_US 400000 /* of a slow target, overloaded */
+#define ADM_LEVEL_STARTS_MIN 8         /* calls started that make a window */
+#define ADM_LEVEL_STANDING_US 10000    /* all waiting longer: overload */
+#define ADM_LEVEL_HEADROOM 1.02        /* arrivals taken per slot gained */
+#define ADM_LEVEL_DECAY 0.7            /* of arrivals, per window */
+#define ADM_LEVEL_GROWTH 0.12          /* of the level, regained per window */
+#define ADM_LEVEL_SPEED_UP 0.25 /* more of that per calm window before */
+#define ADM_LEVEL_DROP_MAX 96   /* priorities given up per window */
 
 /* Start with everything admitted. */
 void
@@ -86,11 +88,17 @@
 void
 adm_level_tick(adm_level_state *s, int64_t now_us)
 {
-    if (now_us - s->window_start_us < ADM_LEVEL_WINDOW_US) {
+    int64_t age_us = now_us - s->window_start_us;
+    if (age_us < ADM_LEVEL_WINDOW_US) {
         return;
     }
     bool standing = s->started > 0 && s->least_wait_us > ADM_LEVEL_STANDING_US;
-    if (s->overloaded || standing) {
+    bool overloaded = s->overloaded || standing;
+    if (overloaded && s->started < ADM_LEVEL_STARTS_MIN &&
+        age_us < ADM_LEVEL_WINDOW_MAX_US) {
+        return; /* too few starts to tell what fits */
+    }
+    if (overloaded) {
         adm_level_lower(s);
         s->calm_windows = 0;
     }
--- a/src/core/rte.c
+++ b/src/core/rte.c
@@ -1,5 +1,7 @@
 #include "lav/rte.h"
 
+#include "lav/adm.h"
+
 #include <xxhash.h>
 
 #define RTE_ZONE_PERMILLE 150        /* what another zone costs, as load */
@@ -89,3 +91,15 @@
     }
     return any;
 }
+
+/* Mean of the levels that the instances demand: what a call meets whose
+ * instance is given by its id.  ADM_LEVEL_MAX where there are none. */
+int
+rte_mean_level(const rte_candidate *candidates, size_t count)
+{
+    int sum = 0;
+    for (size_t i = 0; i < count; i++) {
+        sum += candidates[i].level;
+    }
+    return count == 0 ? ADM_LEVEL_MAX : sum / (int)count;
+}
--- a/src/node/rtr.c
+++ b/src/node/rtr.c
@@ -166,7 +166,8 @@
         const char *service = l->services[callee->service]->name;
         char name[RTR_OPERATION_SIZE];
         snprintf(name, sizeof(name), "%s.%s", service, callee->source->name);
-        int level = rtr_operation_level(r, service, name, now_us);
+        int level = rtr_operation_level(r, service, name,
+                                        callee->source->idempotent, now_us);
         lowest = level < lowest ? level : lowest;
     }
     return lowest;
--- a/src/node/rtr_attempt.c
+++ b/src/node/rtr_attempt.c
@@ -82,7 +82,8 @@
     return adm_priority(state->klass, state->policy.rank ? state->rank : 0);
 }
 
-/* Whether every instance is known to refuse the call. */
+/* Whether the call is known to be refused: by every instance, or by the one
+ * that owns its id. */
 bool
 rtr_refused_early(rtr *r, int handle, int64_t now_us)
 {
@@ -92,20 +93,30 @@
     view_read_begin();
     rtr_gather(&choice, r, call->service, state->operation, NULL, now_us);
     view_read_end();
+    if (!state->idempotent) {
+        int owner = rte_owner(choice.candidates, choice.count,
+                              id_hash(call->request.text));
+        return owner != RTE_NONE &&
+               rtr_priority(state) >= choice.candidates[owner].level;
+    }
     return rte_refused_early(choice.candidates, choice.count,
                              rtr_priority(state));
 }
 
-/* Level below which at least one instance takes calls of an operation. */
+/* Level below which calls of an operation are taken: by at least one
+ * instance, or on average by the one that owns the id. */
 int
 rtr_operation_level(rtr *r, const char *service, const char *operation,
-                    int64_t now_us)
+                    bool idempotent, int64_t now_us)
 {
     rtr_choice choice;
     int level = 0;
     view_read_begin();
     rtr_gather(&choice, r, service, operation, NULL, now_us);
     view_read_end();
+    if (!idempotent) {
+        return rte_mean_level(choice.candidates, choice.count);
+    }
     for (size_t i = 0; i < choice.count; i++) {
         if (choice.candidates[i].level > level) {
             level = choice.candidates[i].level;
--- a/src/node/rtr_private.h
+++ b/src/node/rtr_private.h
@@ -112,7 +112,7 @@
                      int64_t now_us);
 bool rtr_refused_early(rtr *r, int handle, int64_t now_us);
 int rtr_operation_level(rtr *r, const char *service, const char *operation,
-                        int64_t now_us);
+                        bool idempotent, int64_t now_us);
 
 /* rtr_finish.c */
 void rtr_finish(rtr *r, int handle, enum reason reason, msg_reply *reply,
