--- a/tests/property/amo_property.cpp
+++ b/tests/property/amo_property.cpp
@@ -236,5 +236,24 @@
             owner = later;
         }
     });
+    tally.check("restarts in turn leave no id without an owner alive", [] {
+        amo_map map{};
+        std::vector<uint64_t> members{1, 2, 3};
+        int64_t now_ms = START_MS;
+        RC_ASSERT(amo_map_extend(&map, members.data(), members.size(),
+                                 now_ms, 600000, WINDOW_MS));
+        std::set<uint64_t> alive(members.begin(), members.end());
+        for (uint64_t leaver = 1; leaver <= 3; leaver++) {
+            now_ms += pick(1000, 20000);
+            alive.erase(leaver);
+            std::vector<uint64_t> ready(alive.begin(), alive.end());
+            RC_ASSERT(amo_map_leave(&map, leaver, now_ms, ready.data(),
+                                    ready.size()));
+            alive.insert(leaver + 10); // it is back, as another incarnation
+            id asked;
+            id_mint(&asked, now_ms + pick(0, 500));
+            RC_ASSERT(alive.count(amo_map_owner(&map, &asked)) == 1u);
+        }
+    });
     return tally.finish();
 }
--- a/tests/property/bud_property.cpp
+++ b/tests/property/bud_property.cpp
@@ -55,6 +55,7 @@
             int share = bud_share(bud_left(ledgers, named), calls - i);
             share = bud_take(ledgers, named, share);
             RC_ASSERT(!context_dropped || share == 0);
+            RC_ASSERT(bud_take(ledgers, 999999, pick(1, 3)) == 0);
             int left = call(depth + 1, share);
             // A reply may claim more than was lent, or come twice.
             int claimed = left == share ? left + pick(0, 1) * 50 : left;
