flow: a refusal names the last attempt's reason

Cause: ent_try() began each round with 'no target', so a request that had been refused for want of a slot at the only instance, and then found nobody left to ask, was logged and counted as 'no_target'. Ruled out: a wrong view of the fleet (the 'member' lines were right). Change: the request keeps how its last attempt failed. Test: mesh_faults/a_refusal_names_the_last_reason, failed before.

--- a/src/flow/ent.c
+++ b/src/flow/ent.c
@@ -216,6 +216,8 @@
     htm_copy(q->r.id, sizeof(q->r.id), htm_get(head, n->fields->request_id));
     q->r.arrived_us = n->l->now_us;
     q->last_member = FLT_NONE;
+    q->last = (att_failure){OUTCOME_NOT_RUN, REASON_NO_TARGET, false, false,
+                            FLT_NONE};
     ev_init(&q->deadline, ent_on_deadline);
     q->deadline.data = q;
     return q;
--- a/src/flow/ent_answer.c
+++ b/src/flow/ent_answer.c
@@ -13,12 +13,12 @@
 /* Final answer to a request that no attempt has answered; "not run" only
  * where that is true of all its attempts. */
 static void
-ent_give_up(ent_request *q, enum outcome outcome, enum reason reason)
+ent_give_up(ent_request *q)
 {
-    bool not_run = outcome == OUTCOME_NOT_RUN && !q->may_have_run;
+    bool not_run = q->last.outcome == OUTCOME_NOT_RUN && !q->may_have_run;
     ent_own(
         q, not_run ? HTTP_STATUS_SERVICE_UNAVAILABLE : HTTP_STATUS_BAD_GATEWAY,
-        reason);
+        q->last.reason);
 }
 
 /* Begin an attempt at a member of the fleet; a failure is in `failure`. */
@@ -126,21 +126,19 @@
 void
 ent_try(ent_request *q)
 {
-    att_failure failure = {OUTCOME_NOT_RUN, REASON_NO_TARGET, false, false,
-                           FLT_NONE};
     for (;;) {
         int member = flt_pick(q->n->fleet, &q->choice, q->n->l->now_us);
         if (member == FLT_NONE) {
-            ent_give_up(q, failure.outcome, failure.reason);
+            ent_give_up(q);
             return;
         }
         q->last_member = member;
-        if (ent_start(q, member, &failure) == 0) {
+        if (ent_start(q, member, &q->last) == 0) {
             return;
         }
         ent_leave_out(q, member);
-        if (!ent_again(q, &failure)) {
-            ent_give_up(q, failure.outcome, failure.reason);
+        if (!ent_again(q, &q->last)) {
+            ent_give_up(q);
             return;
         }
     }
@@ -168,11 +166,12 @@
     hbf_clear(&q->fields);
     hbf_clear(&q->held);
     ent_leave_out(q, failure->member);
+    q->last = *failure;
     if (ent_again(q, failure)) {
         ent_try(q);
     }
     else {
-        ent_give_up(q, failure->outcome, failure->reason);
+        ent_give_up(q);
     }
 }
 
--- a/src/flow/ent_private.h
+++ b/src/flow/ent_private.h
@@ -36,6 +36,7 @@
     int reroutes;
     bool may_have_run; /* an attempt may have reached a target */
     int last_member;   /* of the fleet, where the last attempt went */
+    att_failure last;  /* how the last attempt failed; none yet: no target */
     ev_timer deadline;
     /* the answer that is coming in */
     int status;
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -99,6 +99,19 @@
     cr_expect(back);
 }
 
+/* No instance takes it: the refusal names why, not that none is left. */
+Test(mesh_faults, a_refusal_names_the_last_reason)
+{
+    pfr_answer answer;
+    pfr_target_refuse(1, true);
+    pfr_target_refuse(2, true);
+    pfr_call(&answer, 0, "POST", "/n/ok", "both-down", "", 0);
+    cr_expect_eq(answer.status, 503, "%d", answer.status);
+    cr_expect(pfr_log_has(0, "\"request\":\"both-down\",\"status\":503,"
+                             "\"reason\":\"target_down\""));
+    pfr_clear(&answer);
+}
+
 /* Registrations by others name no target to use; the sound one holds. */
 Test(mesh_faults, forged_registrations)
 {
