lcl, dpt: a target that left before it was known stays gone

A node started at 26.247 s; one millisecond later its target took its registration away, which was acknowledged and forgotten, as the node didn't know the target yet; the store's entry, read at 26.258 s, then brought it in as ready. Ruled out: the drain time (the door closes after half of it), other nodes' views (the requests came through the acknowledging node). Change: the node remembers by name who has said that it leaves (dpt); what is learned later, from the store or a late registration, doesn't undo it. A target that this start of the node knows by hearsay only is closed at once when it says so: an earlier start may have acknowledged it before. Tests: flow/a_target_that_left_stays_gone; mesh_faults/ a_target_leaves_a_node_that_does_not_know_it, failed before.

--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -16,7 +16,7 @@
 #define LCL_PATIENCE_PART 8      /* a wait: an eighth of the objective ... */
 #define LCL_PATIENCE_DEEP_PART 2 /* ... of a running request's call: half */
 #define LCL_RECORD_MAX 200000    /* attempts remembered */
-#define LCL_LEAVING_PART 2       /* of the grace, while new work is taken */
+#define LCL_LEAVING_PART 2       /* of the drain time: work is still taken */
 #define LCL_FAILURE_STEP 0.05    /* weight of one call in the failure rate */
 #define LCL_CALL_STEP 0.03       /* weight of one call in the mean time */
 #define LCL_FULL_PART 0.95      /* of the slots: nearly full, some slow down */
@@ -130,6 +130,21 @@
     }
 }
 
+/* It leaves: new work is taken for a part of the time that the platform
+ * allows.  One that was known by hearsay only may have said so before to an
+ * earlier start of this node, so nothing more is taken. */
+static void
+lcl_close(lcl *d)
+{
+    int64_t drain_us = d->n->settings.drain_ms * CLK_US_PER_MS;
+    d->leaving = true;
+    d->closes_us =
+        d->n->l->now_us + (d->heard ? drain_us / LCL_LEAVING_PART : 0);
+    log_event(LOG_INFO, "target_leaves", NULL, "{s:s,s:i,s:b}", "instance",
+              d->instance, "running", adm_in_flight(d->admission), "heard",
+              d->heard);
+}
+
 static void
 lcl_new_start(lcl *d, const char *instance, int64_t born_ms)
 {
@@ -138,10 +153,14 @@
     g_strlcpy(d->instance, instance, sizeof(d->instance));
     d->born_ms = born_ms;
     d->sequence = 0;
+    d->heard = false;
     d->leaving = false;
     d->down = false;
     d->failures = 0;
     hpl_drop(d->n->pool, &d->at);
+    if (dpt_has_left(&d->departed, instance, born_ms)) {
+        lcl_close(d);
+    }
 }
 
 /* The target registered.  False where the beat is older than what is known:
@@ -168,28 +187,23 @@
                       d->n->l->now_us);
     }
     if (beat->leaving && !d->leaving) {
-        lcl_leave(d, beat->instance);
+        lcl_close(d);
     }
+    d->heard = true;
     lcl_announce(d);
     return true;
 }
 
-/* The target leaves: it gets no new work after the grace.  False where it is
- * not the one that is here. */
-bool
+/* The target leaves: it gets no new work after the grace.  One that is not
+ * known yet is remembered, so that later news don't bring it back. */
+void
 lcl_leave(lcl *d, const char *instance)
 {
-    if (strcmp(instance, d->instance) != 0) {
-        return false;
-    }
-    if (!d->leaving) {
-        log_event(LOG_INFO, "target_leaves", NULL, "{s:s,s:i}", "instance",
-                  instance, "running", adm_in_flight(d->admission));
-        d->leaving = true;
-        d->leaving_us = d->n->l->now_us;
+    dpt_note(&d->departed, instance, clk_wall_ms());
+    if (strcmp(instance, d->instance) == 0 && !d->leaving) {
+        lcl_close(d);
         lcl_announce(d);
     }
-    return true;
 }
 
 /* Take over what an earlier start of this node made known of its target; the
@@ -278,13 +292,11 @@
 static bool
 lcl_takes_work(const lcl *d, enum reason *reason)
 {
-    int64_t grace_us =
-        d->n->settings.drain_ms * CLK_US_PER_MS / LCL_LEAVING_PART;
     if (d->instance[0] == '\0' || d->down) {
         *reason = REASON_TARGET_DOWN;
         return false;
     }
-    if (d->leaving && d->n->l->now_us - d->leaving_us > grace_us) {
+    if (d->leaving && d->n->l->now_us >= d->closes_us) {
         *reason = REASON_DRAINING;
         return false;
     }
--- a/src/flow/lcl.h
+++ b/src/flow/lcl.h
@@ -25,7 +25,7 @@
 int lcl_new(lcl **out, nod *n, err *e);
 void lcl_free(lcl *d);
 bool lcl_register(lcl *d, const lcl_beat *beat);
-bool lcl_leave(lcl *d, const char *instance);
+void lcl_leave(lcl *d, const char *instance);
 void lcl_adopt(lcl *d, const flt_record *record);
 int lcl_start(lcl_call **out, lcl *d, att_request *r, uint64_t nonce,
               const att_sink *sink, void *payload, att_failure *refused);
--- a/src/flow/lcl_private.h
+++ b/src/flow/lcl_private.h
@@ -2,6 +2,7 @@
 #define LAV_LCL_PRIVATE_H
 
 #include "lav/adm.h"
+#include "lav/dpt.h"
 #include "lav/dsp.h"
 #include "lav/ovl.h"
 #include "lcl.h"
@@ -15,11 +16,13 @@
     int64_t born_ms;
     int64_t sequence;
     int slots;
+    bool heard;   /* it has registered with this start of the node */
+    dpt departed; /* targets here that have said that they leave */
     bool leaving;
-    int64_t leaving_us;
-    bool down;       /* could not be reached since it last registered */
-    double failures; /* of recent calls, 0 to 1 */
-    double call_us;  /* mean time of recent calls in the target */
+    int64_t closes_us; /* no new work from then on, while it leaves */
+    bool down;         /* could not be reached since it last registered */
+    double failures;   /* of recent calls, 0 to 1 */
+    double call_us;    /* mean time of recent calls in the target */
     adm *admission;
     ovl overload;
     dsp *record; /* of the attempts that must not run twice */
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -66,6 +66,30 @@
     }
 }
 
+/* The node has just started and doesn't know its target when that takes its
+ * registration away; what the store says of it later brings nothing back. */
+Test(mesh_faults, a_target_leaves_a_node_that_does_not_know_it)
+{
+    pfr_store_mode(PFR_STORE_BUSY);
+    pfr_signal_node(1, SIGKILL);
+    cr_expect_neq(pfr_await_node_end(1), -1);
+    pfr_start_node(1);
+    cr_assert(PFR_AWAIT(pfr_leave(1) == 200));
+    pfr_store_mode(PFR_STORE_UP);
+    cr_assert(pfr_await_ready(1));
+    cr_expect_eq(pfr_beat(1, "ready", 0), 200); /* sent before it left */
+    pfr_sleep_ms(300);
+    for (int i = 0; i < 30; i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "unknown-%d", i);
+        pfr_call(&answer, 0, "POST", "/n/shed-at-2", id, "", 0);
+        cr_expect_eq(pfr_runs(id), 0, "%s ran at %d", id, pfr_run_node(id));
+        pfr_clear(&answer);
+        pfr_sleep_ms(20);
+    }
+}
+
 Test(mesh_faults, a_target_that_is_down_and_comes_back)
 {
     pfr_target_refuse(1, true);
--- a/tests/integration/pfr.c
+++ b/tests/integration/pfr.c
@@ -266,6 +266,17 @@
     return pfr_beat_text(node, k->instance, text);
 }
 
+/* The target takes its registration away. */
+int
+pfr_leave(int node)
+{
+    char request[256];
+    snprintf(request, sizeof(request),
+             "DELETE /api/instances/%s HTTP/1.1\r\nHost: x\r\n\r\n",
+             pfr_nodes[node].instance);
+    return pfr_ask(pfr_nodes[node].ports[PFR_CONTROL], request);
+}
+
 /* The target starts anew. */
 void
 pfr_new_lifetime(int node, const char *instance)
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -39,6 +39,7 @@
 void pfr_target_refuse(int node, bool refuse);
 int pfr_beat(int node, const char *state, int sequence);
 int pfr_beat_text(int node, const char *instance, const char *text);
+int pfr_leave(int node); /* without having said so before */
 void pfr_new_lifetime(int node, const char *instance);
 bool pfr_await_ready(int node);
 int pfr_ready_status(int node);
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "hop.h"
+#include "lav/dpt.h"
 #include "lav/flt.h"
 #include "lav/rbw.h"
 #include "lav/rts.h"
@@ -417,3 +418,32 @@
     cr_expect_lt(rec_unpack(&read, json, &e), 0);
     json_decref(json);
 }
+
+typedef struct departure_case {
+    const char *instance;
+    int64_t born_ms;
+    bool left;
+} departure_case;
+
+/* "a" said at 1000 that it leaves, "b" at 2000. */
+static const departure_case departure_cases[] = {
+    {"a", 10, true},  {"a", 1000, true}, {"a", 1001, false}, {"b", 1500, true},
+    {"c", 10, false}, {"", 10, false},   {"ab", 10, false},
+};
+
+Test(flow, a_target_that_left_stays_gone)
+{
+    dpt d = {0};
+    dpt_note(&d, "a", 1000);
+    dpt_note(&d, "b", 2000);
+    for (size_t i = 0; i < COUNT(departure_cases); i++) {
+        const departure_case *c = &departure_cases[i];
+        cr_expect_eq(dpt_has_left(&d, c->instance, c->born_ms), c->left,
+                     "case %zu", i);
+    }
+    for (int i = 0; i < DPT_KEPT; i++) {
+        dpt_note(&d, "c", 3000 + i);
+    }
+    cr_expect_not(dpt_has_left(&d, "a", 10)); /* the oldest are forgotten */
+    cr_expect(dpt_has_left(&d, "c", 3000));
+}
