org, dor, gat: inner calls are told apart on any landscape; all that was begun waits alike

After a desired state that moved a route at 8 s, calls of targets came from beside two services, more than 0.6 of the nodes, so the nodes took them for requests of outside callers and refused 1,289 of them at the gate, each wasting a running request. Besides, royalty credits, which outside callers ask of the same service, were behind all inner calls there and waited an eighth of the objective only. Change: a route's origin is judged by the part of the nodes from which no request comes, corrected for few requests (org; the old rule could not work with 97 services at all); entry nodes follow most answers, not the last. Requests wait alike at a target's door (dor, shared with the emulator). Tests: origin/*, emu/replays (kinds of one priority alike), the first and the last failed before.

--- a/include/lav/chn.h
+++ b/include/lav/chn.h
@@ -13,17 +13,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "lav/org.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-#define CHN_ORIGINS_MAX 16      /* calling services told apart on a route */
-#define CHN_ORIGINS_ENOUGH 20   /* requests before a route is judged */
-#define CHN_ORIGINS_KEEP 1000   /* requests at which old ones are halved */
-#define CHN_ORIGIN_SHARE 0.02   /* a rarer caller is taken for a stray */
-#define CHN_INNER_COVER 0.6     /* callers beside fewer nodes: inner calls */
 #define CHN_HEARD_US 1000000    /* 1 s; older news of a route is not used */
 #define CHN_HEARD_STEP 0.2      /* weight of one answer: instances differ */
+#define CHN_INNER_HALF 0.5      /* more verdicts than this: inner calls */
 #define CHN_FAILING 0.05        /* share of failed runs that is no accident */
 #define CHN_FAIL_STEP 0.05      /* weight of one run */
 #define CHN_OVERLOADED 1.02     /* demand over what is served */
@@ -35,19 +33,16 @@
     double factor;    /* demand for each call served */
 } chn_strain;
 
-/* Part of all nodes that stand beside a service, 0 to 1. */
-typedef double (*chn_share_cb)(uint32_t service, void *payload);
-
 typedef struct chn chn;
 
 int chn_new(chn **out);
 void chn_free(chn *c);
 void chn_arrived(chn *c, uint32_t route, uint32_t origin,
-                 chn_share_cb node_share, void *payload);
-bool chn_from_targets(const chn *c, uint32_t route);
+                 org_share_cb node_share, void *payload);
+enum org_verdict chn_origin_of(const chn *c, uint32_t route);
 void chn_ended(chn *c, uint32_t route, bool failed, int64_t now_us);
-void chn_heard(chn *c, uint32_t route, bool inner, const chn_strain *strain,
-               int64_t now_us);
+void chn_heard(chn *c, uint32_t route, enum org_verdict origin,
+               const chn_strain *strain, int64_t now_us);
 bool chn_is_inner(const chn *c, uint32_t route);
 chn_strain chn_strain_of(const chn *c, uint32_t route, const chn_strain *own,
                          int64_t now_us);
--- /dev/null
+++ b/include/lav/dor.h
@@ -0,0 +1,40 @@
+/*
+ * dor: how requests wait at the node that is the only way to a target.
+ * Those of outside callers were chosen by priority at the gate where they
+ * began; from then on they are as good as the calls that running requests
+ * make, which would lose what was done for them.  So all wait alike.
+ *
+ * Load pattern answered: an overloaded deep service that outside callers use
+ * as well.  If its targets' calls go first there, those callers get nothing.
+ */
+#ifndef LAV_DOR_H
+#define LAV_DOR_H
+
+#include <stdint.h>
+
+#include "lav/adm.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define DOR_QUEUE_LENGTH 512 /* calls that wait at most */
+#define DOR_PATIENCE_PART                                                     \
+    2 /* of the objective: then there is still time
+                              * to serve it within */
+
+typedef struct dor_request {
+    int handle; /* of the caller of this module, not negative */
+    int rank;   /* stable for one request, 0 to ID_RANKS - 1 */
+    int64_t objective_us;
+    int64_t deadline_us;
+} dor_request;
+
+int dor_new(adm **out);
+adm_call dor_call(const dor_request *r, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/include/lav/gat.h
+++ b/include/lav/gat.h
@@ -26,7 +26,7 @@
                               * long as a request takes to the deepest call */
 #define GAT_TARGET 1.1     /* demand for each call served, aimed at */
 #define GAT_GAIN 0.5       /* of the way to the level that would do */
-#define GAT_RAISE_MOST 1.3 /* of a past level, for the next one */
+#define GAT_RAISE_MOST 2.0 /* of a past level: open again within a second */
 #define GAT_LEAST 0.05     /* level: some requests are always tried */
 #define GAT_FLOOR                                                             \
     0.4                      /* of the level, kept for each kind: a kind that
--- a/lab/emu.c
+++ b/lab/emu.c
@@ -138,10 +138,10 @@
                          .state = FLT_READY,
                          .call_us = (int)at->call_us};
     chn_strain strain = emu_strain(m, at, job->kind);
-    bool inner = chn_from_targets(at->chains, emu_hash(job->kind));
+    enum org_verdict origin = chn_origin_of(at->chains, emu_hash(job->kind));
     flt_reported(from->fleet, job->at, &report, m->now_us);
-    chn_heard(from->chains, emu_hash(job->kind), inner, &strain, m->now_us);
-    if (!inner) {
+    chn_heard(from->chains, emu_hash(job->kind), origin, &strain, m->now_us);
+    if (!chn_is_inner(from->chains, emu_hash(job->kind))) {
         gat_heard(from->gate, emu_hash(job->kind), &strain, m->now_us);
     }
 }
@@ -296,14 +296,11 @@
     if (job->moves == 0) {
         ovl_arrived(&node->overload);
     }
-    bool deep = job->parent != NULL;
-    adm_call call = {.handle = handle,
-                     .klass = SVC_CRITICAL,
-                     .rank = g_rand_int_range(m->random, 0, ID_RANKS),
-                     .depth = deep,
-                     .deadline_us = job->deadline_us,
-                     .arrived_us = m->now_us,
-                     .patience_us = k->objective_us / (deep ? 2 : 8)};
+    dor_request request = {.handle = handle,
+                           .rank = g_rand_int_range(m->random, 0, ID_RANKS),
+                           .objective_us = k->objective_us,
+                           .deadline_us = job->deadline_us};
+    adm_call call = dor_call(&request, m->now_us);
     adm_verdict verdict = adm_arrive(node->door, &call, m->now_us);
     if (verdict.displaced != ADM_NONE) {
         emu_refuse(m, node, node->jobs[verdict.displaced],
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -11,6 +11,7 @@
 #include "emu.h"
 #include "lav/adm.h"
 #include "lav/chn.h"
+#include "lav/dor.h"
 #include "lav/flt.h"
 #include "lav/gat.h"
 #include "lav/ovl.h"
--- a/lab/emu_run.c
+++ b/lab/emu_run.c
@@ -4,12 +4,6 @@
 #include "emu_private.h"
 #include "lav/clk.h"
 
-static const svc_policy emu_policy = {.admission = true,
-                                      .rank = true,
-                                      .queue = SVC_QUEUE_CLASS,
-                                      .queue_ms = 100,
-                                      .queue_length = 512};
-
 static void
 emu_node_init(emu *m, emu_node *node, int index, int service)
 {
@@ -25,7 +19,7 @@
     flt_new(&node->fleet, m->opts->seed + (uint64_t)(node - m->nodes));
     chn_new(&node->chains);
     gat_new(&node->gate);
-    adm_new(&node->door, &emu_policy);
+    dor_new(&node->door);
     adm_set_slots(node->door, s->slots, false, 0);
 }
 
--- a/src/core/chn.c
+++ b/src/core/chn.c
@@ -5,21 +5,15 @@
 
 #include "lav/err.h"
 
-typedef struct chn_origin {
-    uint32_t service;
-    int count;
-} chn_origin;
-
 typedef struct chn_route {
     /* of requests on it that run at the target here */
-    chn_origin origins[CHN_ORIGINS_MAX];
-    int origin_count;
-    int requests;
-    bool from_targets;
+    org origins;
+    enum org_verdict origin;
     double failing; /* share of runs that failed */
     int64_t depends_until_us;
     /* of requests on it that this node sent on */
-    bool inner;
+    bool judged;
+    double inner; /* share of the recent verdicts: calls of targets */
     chn_strain strain;
     int64_t heard_us;
 } chn_route;
@@ -69,63 +63,32 @@
     return r;
 }
 
-static void
-chn_halve(chn_route *r)
-{
-    r->requests /= 2;
-    for (int i = 0; i < r->origin_count; i++) {
-        r->origins[i].count /= 2;
-    }
-}
-
-/* Outside callers are at all nodes; a target's calls come from beside that
- * target. */
-static bool
-chn_judge(const chn_route *r, chn_share_cb node_share, void *payload)
-{
-    double cover = 0;
-    for (int i = 0; i < r->origin_count; i++) {
-        if (r->origins[i].count >= r->requests * CHN_ORIGIN_SHARE) {
-            cover += node_share(r->origins[i].service, payload);
-        }
-    }
-    return cover < CHN_INNER_COVER;
-}
-
 /* A request on a route reached the target here; `origin` is the service
  * beside the node where it came from, and `node_share` gives the part of all
  * nodes that stand beside a service. */
 void
-chn_arrived(chn *c, uint32_t route, uint32_t origin, chn_share_cb node_share,
+chn_arrived(chn *c, uint32_t route, uint32_t origin, org_share_cb node_share,
             void *payload)
 {
     chn_route *r = chn_get(c, route);
-    int i = 0;
-    while (i < r->origin_count && r->origins[i].service != origin) {
-        i++;
-    }
-    if (i == CHN_ORIGINS_MAX) {
-        return;
-    }
-    if (i == r->origin_count) {
-        r->origins[r->origin_count++] = (chn_origin){origin, 0};
-    }
-    r->origins[i].count++;
-    r->requests++;
-    if (r->requests % CHN_ORIGINS_ENOUGH == 0) {
-        r->from_targets = chn_judge(r, node_share, payload);
-    }
-    if (r->requests > CHN_ORIGINS_KEEP) {
-        chn_halve(r);
+    org_arrived(&r->origins, origin);
+    if (r->origins.requests % ORG_ENOUGH == 0) {
+        r->origin = org_judge(&r->origins, node_share, payload);
     }
 }
 
-/* Whether the requests on a route are calls of targets, as judged here. */
-bool
-chn_from_targets(const chn *c, uint32_t route)
+/* Where the requests on a route come from, as judged here. */
+enum org_verdict
+chn_origin_of(const chn *c, uint32_t route)
 {
     const chn_route *r = chn_find(c, route);
-    return r != NULL && r->from_targets;
+    return r == NULL ? ORG_UNKNOWN : r->origin;
+}
+
+static bool
+chn_inner(const chn_route *r)
+{
+    return r->inner > CHN_INNER_HALF;
 }
 
 /* The worst overload among the calls that targets here make. */
@@ -138,7 +101,7 @@
     g_hash_table_iter_init(&iter, c->routes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const chn_route *r = value;
-        if (r->inner && now_us - r->heard_us <= CHN_HEARD_US &&
+        if (chn_inner(r) && now_us - r->heard_us <= CHN_HEARD_US &&
             r->strain.factor > worst.factor) {
             worst = r->strain;
         }
@@ -159,13 +122,19 @@
     }
 }
 
-/* Another node answered a request that this node sent on. */
+/* A node answered a request that this node began, and told where it thinks
+ * that the requests on the route come from. */
 void
-chn_heard(chn *c, uint32_t route, bool inner, const chn_strain *strain,
-          int64_t now_us)
+chn_heard(chn *c, uint32_t route, enum org_verdict origin,
+          const chn_strain *strain, int64_t now_us)
 {
     chn_route *r = chn_get(c, route);
-    r->inner = inner;
+    if (origin != ORG_UNKNOWN) {
+        double inner = origin == ORG_TARGETS ? 1 : 0;
+        r->inner =
+            r->judged ? r->inner + (inner - r->inner) * CHN_HEARD_STEP : inner;
+        r->judged = true;
+    }
     if (r->strain.service != strain->service) {
         r->strain = *strain;
     }
@@ -173,13 +142,12 @@
     r->heard_us = now_us;
 }
 
-/* What was last heard of a route: whether its requests are calls of
- * targets. */
+/* Whether the requests on a route are calls of targets, as was heard. */
 bool
 chn_is_inner(const chn *c, uint32_t route)
 {
     const chn_route *r = chn_find(c, route);
-    return r != NULL && r->inner;
+    return r != NULL && chn_inner(r);
 }
 
 /* The worst overload on the chain of a route that runs here, `own` being
--- a/src/flow/ent_answer.c
+++ b/src/flow/ent_answer.c
@@ -29,7 +29,7 @@
     q->r.moved = q->reroutes > 0;
     if (member == n->self_handle) {
         chn_strain strain = lcl_strain(n->local, q->r.route);
-        nod_heard(n, q->r.route, chn_from_targets(n->chains, q->r.route),
+        nod_heard(n, q->r.route, chn_origin_of(n->chains, q->r.route),
                   &strain);
         failure->member = member;
         int result = lcl_start(&q->attempt.of.local, n->local, &q->r,
--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -122,7 +122,7 @@
         return HCN_CLOSED;
     }
     flt_reported(f->n->fleet, f->member, &f->reply.report, f->n->l->now_us);
-    nod_heard(f->n, f->r->route, f->reply.from_targets, &f->reply.strain);
+    nod_heard(f->n, f->r->route, f->reply.origin, &f->reply.strain);
     if (f->reply.config_version > nod_version(f->n)) {
         syc_fetch(f->n, &f->to);
     }
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -63,7 +63,7 @@
                        " %d %d %d %d %d %" PRIx32 " %d %d\r\n",
              (int)reply->outcome, (int)reply->reason, reply->reached,
              reply->config_version, reply->incarnation, r->busy, r->limit,
-             r->failures_permille, (int)r->state, reply->from_targets,
+             r->failures_permille, (int)r->state, (int)reply->origin,
              reply->strain.service, (int)(reply->strain.factor * HOP_PERMILLE),
              r->call_us);
 }
@@ -77,7 +77,7 @@
     int reason = 0;
     int reached = 0;
     int state = 0;
-    int from_targets = 0;
+    int origin = 0;
     int strain_permille = 0;
     *out = (hop_reply){0};
     flt_report *r = &out->report;
@@ -87,17 +87,17 @@
                " %d %d",
                &outcome, &reason, &reached, &out->config_version,
                &out->incarnation, &r->busy, &r->limit, &r->failures_permille,
-               &state, &from_targets, &out->strain.service, &strain_permille,
+               &state, &origin, &out->strain.service, &strain_permille,
                &r->call_us) != HOP_REPLY_ITEMS) {
         return ERR_INVALID;
     }
-    bool sound = outcome >= OUTCOME_DONE && outcome <= OUTCOME_UNKNOWN &&
-                 reason >= 0 && reason < REASON_COUNT && r->busy >= 0 &&
-                 r->busy <= HOP_LIMIT_MAX && r->limit >= 0 &&
-                 r->limit <= HOP_LIMIT_MAX && r->failures_permille >= 0 &&
-                 r->failures_permille <= HOP_PERMILLE &&
-                 strain_permille >= 0 && r->call_us >= 0 &&
-                 state >= FLT_STARTING && state <= FLT_GONE;
+    bool sound =
+        outcome >= OUTCOME_DONE && outcome <= OUTCOME_UNKNOWN && reason >= 0 &&
+        reason < REASON_COUNT && r->busy >= 0 && r->busy <= HOP_LIMIT_MAX &&
+        r->limit >= 0 && r->limit <= HOP_LIMIT_MAX &&
+        r->failures_permille >= 0 && r->failures_permille <= HOP_PERMILLE &&
+        strain_permille >= 0 && r->call_us >= 0 && state >= FLT_STARTING &&
+        state <= FLT_GONE && origin >= ORG_UNKNOWN && origin <= ORG_TARGETS;
     if (!sound) {
         return ERR_INVALID;
     }
@@ -105,7 +105,7 @@
     out->reason = (enum reason)reason;
     out->reached = reached != 0;
     r->state = (enum flt_state)state;
-    out->from_targets = from_targets != 0;
+    out->origin = (enum org_verdict)origin;
     out->strain.factor = (double)strain_permille / HOP_PERMILLE;
     return 0;
 }
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -41,8 +41,8 @@
     uint64_t config_version;
     uint64_t incarnation; /* of the answering node */
     flt_report report;
-    bool from_targets; /* requests on the route are calls of targets */
-    chn_strain strain; /* the worst overload on the chain of the route */
+    enum org_verdict origin; /* of the requests on the route */
+    chn_strain strain;       /* the worst overload on the chain of the route */
 } hop_reply;
 
 void hop_write_ask(hbf *out, const hop_ask *ask);
--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -11,24 +11,15 @@
 #include "lav/log.h"
 #include "lcl_private.h"
 
-#define LCL_EXPIRY_S 0.01        /* how exactly waits in the queue are ended */
-#define LCL_QUEUE_LENGTH 512     /* calls that wait at most */
-#define LCL_PATIENCE_PART 8      /* a wait: an eighth of the objective ... */
-#define LCL_PATIENCE_DEEP_PART 2 /* ... of a running request's call: half */
-#define LCL_RECORD_MAX 200000    /* attempts remembered */
-#define LCL_LEAVING_PART 2       /* of the drain time: work is still taken */
-#define LCL_FAILURE_STEP 0.05    /* weight of one call in the failure rate */
-#define LCL_CALL_STEP 0.03       /* weight of one call in the mean time */
+#define LCL_EXPIRY_S 0.01       /* how exactly waits in the queue are ended */
+#define LCL_RECORD_MAX 200000   /* attempts remembered */
+#define LCL_LEAVING_PART 2      /* of the drain time: work is still taken */
+#define LCL_FAILURE_STEP 0.05   /* weight of one call in the failure rate */
+#define LCL_CALL_STEP 0.03      /* weight of one call in the mean time */
 #define LCL_FULL_PART 0.95      /* of the slots: nearly full, some slow down */
 #define LCL_RETRY_MIN_US 100000 /* 0.1 s; shorter ones only add attempts */
 #define LCL_PERMILLE 1000
 
-static const svc_policy lcl_policy = {.admission = true,
-                                      .rank = true,
-                                      .queue = SVC_QUEUE_CLASS,
-                                      .queue_ms = 100,
-                                      .queue_length = LCL_QUEUE_LENGTH};
-
 static void lcl_pump(lcl *d);
 
 static void
@@ -63,7 +54,7 @@
             ERR_SET(e, ERR_INVALID, "target.address: \"%s\" is no address",
                     n->settings.target);
     }
-    else if (adm_new(&d->admission, &lcl_policy) < 0 ||
+    else if (dor_new(&d->admission) < 0 ||
              dsp_new(&d->record, LCL_RECORD_MAX) < 0) {
         result = ERR_SET(e, ERR_NO_MEMORY, "the target's record");
     }
@@ -310,22 +301,6 @@
     return ERR_UNAVAILABLE;
 }
 
-/* All calls are alike here: requests of outside callers were chosen by
- * priority at the gate where they began, and to refuse a call of a running
- * one would lose what was done for it. */
-static adm_call
-lcl_admission_call(const lcl *d, const att_request *r, int handle)
-{
-    int part = r->depth > 0 ? LCL_PATIENCE_DEEP_PART : LCL_PATIENCE_PART;
-    return (adm_call){.handle = handle,
-                      .klass = SVC_CRITICAL,
-                      .rank = id_rank(r->id),
-                      .depth = r->depth,
-                      .deadline_us = r->deadline_us,
-                      .arrived_us = d->n->l->now_us,
-                      .patience_us = r->objective_us / part};
-}
-
 static lcl_call *
 lcl_call_new(lcl *d, att_request *r, uint64_t nonce, const att_sink *sink,
              void *payload)
@@ -378,7 +353,11 @@
     if (!r->moved) {
         ovl_arrived(&d->overload);
     }
-    adm_call admitted = lcl_admission_call(d, r, call->handle);
+    dor_request request = {.handle = call->handle,
+                           .rank = id_rank(r->id),
+                           .objective_us = r->objective_us,
+                           .deadline_us = r->deadline_us};
+    adm_call admitted = dor_call(&request, now_us);
     adm_verdict verdict = adm_arrive(d->admission, &admitted, now_us);
     if (verdict.displaced != ADM_NONE) {
         lcl_fail(d->calls[verdict.displaced], OUTCOME_NOT_RUN,
--- a/src/flow/lcl_log.c
+++ b/src/flow/lcl_log.c
@@ -12,13 +12,13 @@
         return;
     }
     log_event(LOG_INFO, "door", r->id,
-              "{s:s,s:s,s:b,s:s,s:s,s:i,s:i,s:i,s:f,s:I,s:I}", "outcome",
+              "{s:s,s:s,s:b,s:s,s:s,s:i,s:i,s:i,s:f,s:i,s:I,s:I}", "outcome",
               outcome_name(failure->outcome), "reason",
               reason_name(failure->reason), "reached_target", failure->reached,
               "instance", d->instance, "state", flt_state_name(lcl_state(d)),
               "running", adm_in_flight(d->admission), "limit",
               adm_limit_of(d->admission), "waiting", adm_queued(d->admission),
-              "demand", d->overload.factor, "waited_us",
+              "demand", d->overload.factor, "depth", r->depth, "waited_us",
               (json_int_t)(d->n->l->now_us - r->arrived_us), "left_us",
               (json_int_t)(r->deadline_us - d->n->l->now_us));
 }
--- a/src/flow/lcl_private.h
+++ b/src/flow/lcl_private.h
@@ -2,6 +2,7 @@
 #define LAV_LCL_PRIVATE_H
 
 #include "lav/adm.h"
+#include "lav/dor.h"
 #include "lav/dpt.h"
 #include "lav/dsp.h"
 #include "lav/ovl.h"
--- a/src/flow/nod.c
+++ b/src/flow/nod.c
@@ -168,10 +168,11 @@
 
 /* An answer told of the overload on the chain of a route. */
 void
-nod_heard(nod *n, uint32_t route, bool from_targets, const chn_strain *strain)
+nod_heard(nod *n, uint32_t route, enum org_verdict origin,
+          const chn_strain *strain)
 {
-    chn_heard(n->chains, route, from_targets, strain, n->l->now_us);
-    if (!from_targets) {
+    chn_heard(n->chains, route, origin, strain, n->l->now_us);
+    if (!chn_is_inner(n->chains, route)) {
         gat_heard(n->gate, route, strain, n->l->now_us);
     }
 }
--- a/src/flow/nod.h
+++ b/src/flow/nod.h
@@ -73,7 +73,7 @@
 rbw *nod_budget(nod *n, const char *service);
 void nod_merge(nod *n, const flt_record *record, const char *source);
 void nod_set_self(nod *n, const flt_record *record);
-void nod_heard(nod *n, uint32_t route, bool from_targets,
+void nod_heard(nod *n, uint32_t route, enum org_verdict origin,
                const chn_strain *strain);
 double nod_share(uint32_t service, void *payload);
 bool nod_ready(const nod *n);
--- a/src/flow/prs.c
+++ b/src/flow/prs.c
@@ -78,7 +78,7 @@
                        .config_version = nod_version(n),
                        .incarnation = n->self.incarnation,
                        .report = lcl_report(n->local),
-                       .from_targets = chn_from_targets(n->chains, q->r.route),
+                       .origin = chn_origin_of(n->chains, q->r.route),
                        .strain = lcl_strain(n->local, q->r.route)};
     hop_write_reply(fields, &reply);
 }
--- a/tests/unit/emu_test.c
+++ b/tests/unit/emu_test.c
@@ -51,6 +51,7 @@
                         * at most, and more requests are served in all */
 } replay_case;
 
+#define ALIKE 0.5 /* kinds of one priority: none gets under half of another */
 #define AFTER_LEAST 0.95 /* two seconds after a trouble nearly all is whole */
 
 /* The ledger serves 54 slots / 30 ms = 1800 calls a second, a third of it at
@@ -121,6 +122,10 @@
                 emu_share(none.after, CREDIT + 1));
         cr_expect_geq(during, c->room * c->aim, "%s: %.3f", c->name, during);
         cr_expect_geq(after, AFTER_LEAST, "%s: %.3f", c->name, after);
+        double browsing = emu_share(&with.during[BROWSE], 1);
+        double credits = emu_share(&with.during[CREDIT], 1);
+        cr_expect_geq(credits, browsing * ALIKE, "%s: credits %.3f", c->name,
+                      credits);
         if (c->burst) {
             double none_orders = emu_share(&none.during[ORDER], 1);
             cr_expect_geq(orders, (1 + none_orders) / 2, "%s: %.3f", c->name,
