rch: lost nodes are asked in the background, entries of the gone are taken away

With three of four instances of the deepest service gone, each call spent its free moves there: 182 such attempts in two seconds, against 83 at the instance that lived, and nothing but downloads was served. Change: a member that can't be reached, or whose node stands beside another instance, gets no call while there are others; its node is asked in the background until it answers. Tests: mesh_faults/entries_of_nodes_that_are_gone (failed before: the entries stayed), flow/a_lost_instance_waits_until_it_is_found.

--- a/include/lav/flt.h
+++ b/include/lav/flt.h
@@ -6,7 +6,8 @@
  * failing or unreachable, in zones between which bytes are dear.  The one
  * with the least load for its size is taken; another zone is taken when the
  * own one is busier by FLT_ZONE_STEP; a slow instance and an instance that fails part of its
- * calls counts as busier, one that could not be reached rests.
+ * calls count as busier; one that could not be reached, or was not what is
+ * known of it, gets no call until its node has been asked.
  */
 #ifndef LAV_FLT_H
 #define LAV_FLT_H
@@ -95,6 +96,9 @@
 void flt_reported(flt *f, int handle, const flt_report *report,
                   int64_t now_us);
 void flt_unreachable(flt *f, int handle, int64_t now_us);
+int flt_next_lost(flt *f, int64_t now_us);
+int64_t flt_lost_for_us(const flt *f, int handle, int64_t now_us);
+void flt_found(flt *f, int handle);
 double flt_load(const flt *f, int handle, int64_t now_us);
 const char *flt_state_name(enum flt_state state);
 int flt_state_parse(enum flt_state *out, const char *name);
--- a/src/core/flt.c
+++ b/src/core/flt.c
@@ -18,6 +18,8 @@
     int since;       /* of those, sent since the last report */
     int unreachable; /* tries in a row */
     int64_t rest_until_us;
+    bool lost; /* no call goes there until its node has been asked */
+    int64_t lost_us;
 } flt_member;
 
 struct flt {
@@ -101,6 +103,15 @@
     return handle;
 }
 
+/* It answers again, or is another one. */
+static void
+flt_clear(flt_member *m)
+{
+    m->unreachable = 0;
+    m->rest_until_us = 0;
+    m->lost = false;
+}
+
 /* Take in what a node said; false where it is old, or there is no room. */
 bool
 flt_merge(flt *f, const flt_record *record)
@@ -127,8 +138,7 @@
             (flt_report){.limit = record->slots, .state = record->state};
         m->reported_us = 0;
         m->since = 0;
-        m->unreachable = 0;
-        m->rest_until_us = 0;
+        flt_clear(m);
     }
     return true;
 }
@@ -266,7 +276,7 @@
         if (!flt_usable(m, choice->service) || flt_tried(choice, i)) {
             continue;
         }
-        if (now_us < m->rest_until_us) {
+        if (m->lost || now_us < m->rest_until_us) {
             if (resting == FLT_NONE ||
                 m->rest_until_us < f->members[resting].rest_until_us) {
                 resting = i;
@@ -305,12 +315,13 @@
     m->report = *report;
     m->reported_us = now_us;
     m->since = 0;
-    m->unreachable = 0;
+    flt_clear(m);
     bool serves = report->state == FLT_READY || report->state == FLT_STOPPING;
     m->rest_until_us = serves ? 0 : now_us + FLT_AWAY_US;
 }
 
-/* Its node could not be reached: it rests, longer each time. */
+/* Its node could not be reached, or another instance answered: no call goes
+ * there while there are others, until its node has been asked. */
 void
 flt_unreachable(flt *f, int handle, int64_t now_us)
 {
@@ -321,6 +332,40 @@
     }
     m->unreachable++;
     m->rest_until_us = now_us + MIN(rest_us, FLT_REST_MAX_US);
+    if (!m->lost) {
+        m->lost = true;
+        m->lost_us = now_us;
+    }
+}
+
+/* A lost one whose node is to be asked now, or FLT_NONE; the next time is
+ * later each time. */
+int
+flt_next_lost(flt *f, int64_t now_us)
+{
+    for (int i = 0; i < f->count; i++) {
+        const flt_member *m = &f->members[i];
+        if (m->known && m->lost && now_us >= m->rest_until_us) {
+            flt_unreachable(f, i, now_us);
+            return i;
+        }
+    }
+    return FLT_NONE;
+}
+
+/* How long it has been lost; 0: it isn't. */
+int64_t
+flt_lost_for_us(const flt *f, int handle, int64_t now_us)
+{
+    const flt_member *m = &f->members[handle];
+    return m->known && m->lost ? now_us - m->lost_us : 0;
+}
+
+/* Its node has answered and is what its record says. */
+void
+flt_found(flt *f, int handle)
+{
+    flt_clear(&f->members[handle]);
 }
 
 /* Name of a state in messages and logs. */
--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -13,6 +13,7 @@
 #include "lav/clk.h"
 #include "lav/ctr.h"
 #include "lav/err.h"
+#include "rch.h"
 #include "syc.h"
 
 #define FWD_CONNECT_US 400000 /* 0.4 s; a first SYN is resent after 1 s */
@@ -102,7 +103,7 @@
     hcn_close(c);
     (void)end;
     if (!connected) {
-        flt_unreachable(f->n->fleet, f->member, f->n->l->now_us);
+        rch_lost(f->n->reach, f->member);
         fwd_fail(f, OUTCOME_NOT_RUN, REASON_PEER_UNREACHABLE, false);
     }
     else if (f->answered || f->r->idempotent) {
@@ -122,6 +123,10 @@
         return HCN_CLOSED;
     }
     flt_reported(f->n->fleet, f->member, &f->reply.report, f->n->l->now_us);
+    if (f->reply.reason == REASON_NO_TARGET &&
+        f->reply.report.state == FLT_READY) {
+        rch_lost(f->n->reach, f->member); /* another instance is there */
+    }
     nod_heard(f->n, f->r->route, f->reply.origin, &f->reply.strain);
     if (f->reply.config_version > nod_version(f->n)) {
         syc_fetch(f->n, &f->to);
@@ -220,7 +225,7 @@
     if (c == NULL) {
         if (hcn_connect(&c, n->l, &to, FWD_CONNECT_US, &fwd_handlers, NULL) <
             0) {
-            flt_unreachable(n->fleet, member, n->l->now_us);
+            rch_lost(n->reach, member);
             return ERR_UNAVAILABLE;
         }
         hcn_probe_silence(c);
--- a/src/flow/nod.h
+++ b/src/flow/nod.h
@@ -20,6 +20,7 @@
 #include "lav/rts.h"
 
 struct lcl;
+struct rch;
 
 /* Names of header fields as callers and targets have them. */
 typedef struct nod_fields {
@@ -39,15 +40,19 @@
 typedef void (*nod_announce_cb)(const flt_record *record, bool leave,
                                 void *payload);
 
+/* The entry of a node that is gone for good is to be taken away. */
+typedef void (*nod_forget_cb)(const char *node, void *payload);
+
 typedef struct nod {
     hlp *l;
     dps settings;
     const nod_fields *fields;
     nod_decode_cb decode;
     nod_announce_cb announce;
-    void *announce_payload;
-    hpl *pool;   /* to peers, the target and the store */
-    rts *routes; /* in force; NULL: none is known yet */
+    nod_forget_cb forget;   /* NULL: entries are not kept anywhere */
+    void *announce_payload; /* of both */
+    hpl *pool;              /* to peers, the target and the store */
+    rts *routes;            /* in force; NULL: none is known yet */
     char *routes_text;
     size_t routes_length;
     flt *fleet;
@@ -58,6 +63,7 @@
     int self_handle;     /* in the fleet, or FLT_NONE */
     GHashTable *budgets; /* service -> rbw */
     struct lcl *local;   /* the target beside this node */
+    struct rch *reach;   /* nodes that could not be reached */
     bool fetching;       /* a peer has been asked for its state */
     int requests;        /* of callers and peers, under way */
     bool stopping;       /* told to stop: not ready, and still serves */
--- a/src/flow/prs.c
+++ b/src/flow/prs.c
@@ -14,6 +14,8 @@
 #include "lav/ctr.h"
 #include "lav/log.h"
 #include "lcl.h"
+#include "rch.h"
+#include "rec.h"
 #include "rsp.h"
 #include "syc.h"
 
@@ -132,6 +134,11 @@
     if (strcmp(path, SYC_STATE_PATH) == 0) {
         text = syc_state_text(s->n);
     }
+    else if (strcmp(path, RCH_NODE_PATH) == 0) {
+        json_t *record = rec_pack(&s->n->self);
+        text = json_dumps(record, JSON_COMPACT);
+        json_decref(record);
+    }
     else if (strncmp(path, FWD_CANCEL_PATH, prefix) == 0) {
         uint64_t nonce = strtoull(path + prefix, NULL, PRS_HEX);
         text = malloc(PRS_PATH_SIZE);
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -136,6 +136,45 @@
     pfr_clear(&answer);
 }
 
+typedef struct stale_case {
+    const char *node;
+    int peer; /* another node has its address; -1: nobody has */
+} stale_case;
+
+static const stale_case stale_cases[] = {{"gone-1", -1}, {"gone-2", 2}};
+
+/* Entries that their nodes couldn't take away, as the store was out when
+ * they went: requests go elsewhere, and the entries go in the end. */
+Test(mesh_faults, entries_of_nodes_that_are_gone)
+{
+    for (size_t i = 0; i < COUNT(stale_cases); i++) {
+        const stale_case *c = &stale_cases[i];
+        char spec[512];
+        snprintf(spec, sizeof(spec),
+                 "{\"node\":\"%s\",\"service\":\"far\",\"zone\":\"z0\","
+                 "\"peer\":\"127.0.0.1:%d\",\"target\":\"i-%s\","
+                 "\"started_ms\":5,\"incarnation\":7,\"sequence\":1,"
+                 "\"state\":\"ready\",\"slots\":4000}",
+                 c->node, c->peer < 0 ? 1 : pfr_peers_port(c->peer), c->node);
+        pfr_store_put("lavnodes", c->node, spec);
+    }
+    pfr_sleep_ms(200);
+    for (int i = 0; i < 30; i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "stale-%d", i);
+        pfr_call(&answer, 0, "POST", "/n/ok", id, "", 0);
+        cr_expect_eq(answer.status, 200, "%d", answer.status);
+        pfr_clear(&answer);
+    }
+    for (size_t i = 0; i < COUNT(stale_cases); i++) {
+        const char *node = stale_cases[i].node;
+        cr_expect(PFR_AWAIT(!pfr_store_has("lavnodes", node)), "%s", node);
+    }
+    cr_expect(pfr_store_has("lavnodes", "node1"));
+    cr_expect(pfr_store_has("lavnodes", "node2"));
+}
+
 /* Registrations by others name no target to use; the sound one holds. */
 Test(mesh_faults, forged_registrations)
 {
--- a/tests/integration/pfr.c
+++ b/tests/integration/pfr.c
@@ -185,6 +185,12 @@
     return pfr_nodes[node].ports[PFR_CALLERS];
 }
 
+int
+pfr_peers_port(int node)
+{
+    return pfr_nodes[node].ports[PFR_PEERS];
+}
+
 static int
 pfr_connect_port(int port)
 {
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -32,6 +32,8 @@
 void pfr_stop(void);
 void pfr_store_mode(enum pfr_store_mode mode);
 int pfr_store_writes(void);
+void pfr_store_put(const char *kind, const char *name, const char *spec);
+bool pfr_store_has(const char *kind, const char *name);
 void pfr_desire(int version, const char *routes);
 void pfr_start_node(int node);
 void pfr_signal_node(int node, int signal_number);
@@ -44,6 +46,7 @@
 bool pfr_await_ready(int node);
 int pfr_ready_status(int node);
 int pfr_callers_port(int node);
+int pfr_peers_port(int node);
 void pfr_touch_settings(int node);
 bool pfr_log_has(int node, const char *text);
 
--- a/tests/integration/pfr_store.c
+++ b/tests/integration/pfr_store.c
@@ -106,6 +106,26 @@
     return o;
 }
 
+/* Another writer's object; `spec` is JSON. */
+void
+pfr_store_put(const char *kind, const char *name, const char *spec)
+{
+    json_t *value = json_loads(spec, 0, NULL);
+    pthread_mutex_lock(&pfr_lock);
+    pfr_put(kind, name, value);
+    pthread_mutex_unlock(&pfr_lock);
+    json_decref(value);
+}
+
+bool
+pfr_store_has(const char *kind, const char *name)
+{
+    pthread_mutex_lock(&pfr_lock);
+    bool has = pfr_find(kind, name) != NULL;
+    pthread_mutex_unlock(&pfr_lock);
+    return has;
+}
+
 /* The operator writes a desired state; `routes` is a JSON list. */
 void
 pfr_desire(int version, const char *routes)
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -264,6 +264,31 @@
     }
 }
 
+/* One that was lost is the last choice, for as long as it takes, until its
+ * node has been found. */
+Test(flow, a_lost_instance_waits_until_it_is_found)
+{
+    flt *fleet = NULL;
+    flt_choice choice = {.service = "s", .zone = "here"};
+    flt_record records[] = {member("n0", "here"), member("n1", "there")};
+    cr_assert_eq(flt_new(&fleet, 1), 0);
+    cr_assert(flt_merge(fleet, &records[0]) && flt_merge(fleet, &records[1]));
+    flt_report full = {10, 10, 0, FLT_READY, 0};
+    flt_reported(fleet, 1, &full, 1000);
+    cr_expect_eq(flt_pick(fleet, &choice, 1000), 0);
+    flt_unreachable(fleet, 0, 1000);
+    cr_expect_eq(flt_pick(fleet, &choice, 1000), 1);
+    cr_expect_eq(flt_pick(fleet, &choice, 60000000), 1);
+    cr_expect_eq(flt_next_lost(fleet, 1000), FLT_NONE); /* not at once */
+    cr_expect_eq(flt_next_lost(fleet, 1000 + FLT_REST_MIN_US), 0);
+    cr_expect_eq(flt_next_lost(fleet, 1000 + FLT_REST_MIN_US), FLT_NONE);
+    cr_expect_eq(flt_lost_for_us(fleet, 0, 5000), 4000);
+    flt_found(fleet, 0);
+    cr_expect_eq(flt_lost_for_us(fleet, 0, 6000), 0);
+    cr_expect_eq(flt_pick(fleet, &choice, 60000000), 0);
+    flt_free(fleet);
+}
+
 typedef struct merge_case {
     uint64_t incarnation;
     uint64_t sequence;
