lav-explain: reads the logs of several nodes

Calls of targets carry ids of their own, so a failure deep in a chain could only be found by comparing times. Lines of a request in order of time, below each run the failed calls that began at the node beside it meanwhile, hop by hop. Nodes' lines on attempts and served requests say the depth. Tests: explain/*.

--- a/src/flow/ent_answer.c
+++ b/src/flow/ent_answer.c
@@ -151,12 +151,14 @@
     q->attempt.kind = ENT_ATTEMPT_NONE;
     if (log_due("attempt", LOG_LINES_PER_S)) {
         const flt_record *at = flt_get(q->n->fleet, failure->member);
-        log_event(LOG_INFO, "attempt", q->r.id, "{s:s,s:s,s:b,s:s,s:s,s:I}",
-                  "outcome", outcome_name(failure->outcome), "reason",
+        log_event(LOG_INFO, "attempt", q->r.id,
+                  "{s:s,s:s,s:b,s:s,s:s,s:I,s:i}", "outcome",
+                  outcome_name(failure->outcome), "reason",
                   reason_name(failure->reason), "reached_target",
                   failure->reached, "node", at == NULL ? "" : at->node,
                   "instance", at == NULL ? "" : at->instance, "after_us",
-                  (json_int_t)(q->n->l->now_us - q->r.arrived_us));
+                  (json_int_t)(q->n->l->now_us - q->r.arrived_us), "depth",
+                  q->r.depth);
     }
     if (q->committed) {
         ctr_reason(REASON_REPLY_TRUNCATED);
@@ -248,12 +250,12 @@
         return;
     }
     const flt_record *at = flt_get(q->n->fleet, q->last_member);
-    log_event(LOG_INFO, event, q->r.id, "{s:i,s:s,s:s,s:s,s:I,s:i,s:i}",
+    log_event(LOG_INFO, event, q->r.id, "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i}",
               "status", q->status, "service", q->service, "node",
               at == NULL ? "" : at->node, "instance",
               at == NULL ? "" : at->instance, "took_us",
               (json_int_t)(q->n->l->now_us - q->r.arrived_us), "attempts_left",
-              q->attempts_left, "moves", q->reroutes);
+              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth);
 }
 
 static void
--- a/src/tools/lav_explain.c
+++ b/src/tools/lav_explain.c
@@ -1,9 +1,11 @@
-/* lav-explain: why a request was refused, retried or routed so. */
+/* lav-explain: why a request was refused, retried or routed so, from what
+ * nodes remember or from their logs. */
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "fleet.h"
 #include "lav/id.h"
+#include "lgr.h"
 #include "tool.h"
 
 #define EXPLAIN_PATH_SIZE 128
@@ -11,6 +13,7 @@
 static char *explain_platform;
 static char *explain_node;
 static char **explain_ids;
+static char **explain_logs;
 static gboolean explain_json;
 
 static const GOptionEntry explain_entries[] = {
@@ -18,6 +21,8 @@
      "Find the nodes through the platform", "URL"},
     {"node", 0, 0, G_OPTION_ARG_STRING, &explain_node,
      "Find the nodes through one of them", "URL"},
+    {"log", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &explain_logs,
+     "Read a node's log instead; one for each node", "FILE"},
     {"json", 0, 0, G_OPTION_ARG_NONE, &explain_json, "Answer in JSON", NULL},
     {G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &explain_ids, "",
      "REQUEST-ID"},
@@ -82,29 +87,74 @@
     return decisions;
 }
 
-int
-main(int argc, char **argv)
+/* One line: when, where, how deep, which request, what, and all else. */
+static void
+explain_print_line(json_t *line)
+{
+    static const char *const shown[] = {"ms",    "process", "level",
+                                        "event", "request", "below"};
+    const char *request = json_string_value(json_object_get(line, "request"));
+    printf("%lld %-20s %*s%s %s",
+           (long long)json_integer_value(json_object_get(line, "ms")),
+           json_string_value(json_object_get(line, "process")),
+           2 * (int)json_integer_value(json_object_get(line, "below")), "",
+           request, json_string_value(json_object_get(line, "event")));
+    for (size_t i = 0; i < sizeof(shown) / sizeof(shown[0]); i++) {
+        json_object_del(line, shown[i]);
+    }
+    char *rest = json_dumps(line, JSON_COMPACT);
+    printf(" %s\n", rest);
+    free(rest);
+}
+
+static int
+explain_from_logs(const char *request)
 {
     err e = ERR_INIT;
-    id request;
-    if (!tool_parse(&argc, &argv, explain_entries,
-                    "- what became of a request",
-                    "Exit status: 0 found, 1 no node remembers it, 2 bad "
-                    "arguments, 3 no answer.",
-                    "lav-explain") ||
-        (explain_platform == NULL && explain_node == NULL) ||
-        explain_ids == NULL || id_parse(&request, explain_ids[0]) < 0) {
-        fprintf(stderr, "lav-explain: name --platform or --node, and one "
-                        "request id\n");
-        return TOOL_USAGE;
+    lgr *logs = NULL;
+    int result = lgr_new(&logs, &e);
+    for (char **path = explain_logs; result == 0 && *path != NULL; path++) {
+        result = lgr_read(logs, *path, &e);
+    }
+    if (result < 0) {
+        tool_print_error("lav-explain", &e);
+        lgr_free(logs);
+        return TOOL_UNAVAILABLE;
+    }
+    if (lgr_unread(logs) > 0) {
+        fprintf(stderr, "lav-explain: %zu lines are none of a node\n",
+                lgr_unread(logs));
+    }
+    json_t *lines = lgr_explain(logs, request);
+    bool found = json_array_size(lines) > 0;
+    if (explain_json) {
+        json_dumpf(lines, stdout, JSON_INDENT(1));
+        printf("\n");
     }
+    else {
+        size_t index = 0;
+        json_t *line = NULL;
+        json_array_foreach(lines, index, line)
+        {
+            explain_print_line(line);
+        }
+    }
+    json_decref(lines);
+    lgr_free(logs);
+    return found ? TOOL_OK : TOOL_INVALID;
+}
+
+static int
+explain_from_nodes(const id *request)
+{
+    err e = ERR_INIT;
     fleet *f = calloc(1, sizeof(*f));
     if (f == NULL || fleet_find(f, explain_platform, explain_node, &e) < 0) {
         tool_print_error("lav-explain", &e);
         free(f);
         return TOOL_UNAVAILABLE;
     }
-    json_t *decisions = explain_gather(f, request.text);
+    json_t *decisions = explain_gather(f, request->text);
     bool found = json_array_size(decisions) > 0;
     if (explain_json) {
         json_dumpf(decisions, stdout, JSON_INDENT(1));
@@ -117,3 +167,25 @@
     free(f);
     return found ? TOOL_OK : TOOL_INVALID;
 }
+
+int
+main(int argc, char **argv)
+{
+    id request;
+    bool parsed = tool_parse(
+        &argc, &argv, explain_entries, "- what became of a request",
+        "Exit status: 0 found, 1 nobody remembers it, 2 bad arguments, 3 no "
+        "answer, or a log can't be read.",
+        "lav-explain");
+    bool one_id = parsed && explain_ids != NULL;
+    if (one_id && explain_logs != NULL) {
+        return explain_from_logs(explain_ids[0]);
+    }
+    if (!one_id || (explain_platform == NULL && explain_node == NULL) ||
+        id_parse(&request, explain_ids[0]) < 0) {
+        fprintf(stderr, "lav-explain: name --platform, --node or --log, and "
+                        "one request id\n");
+        return TOOL_USAGE;
+    }
+    return explain_from_nodes(&request);
+}
--- /dev/null
+++ b/tests/unit/explain_test.c
@@ -0,0 +1,99 @@
+/* What several nodes' logs say of one request. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "lgr.h"
+
+#define COUNT(list) (sizeof(list) / sizeof((list)[0]))
+
+/* "top" ran beside node b from 100 to 200 and failed, as its call "mid",
+ * which began there, failed beside node c, as "low" found no slot. */
+static const char *const log_a[] = {
+    "{\"ms\":200,\"process\":\"a\",\"event\":\"target_failed\",\"request\":"
+    "\"top\",\"status\":500,\"node\":\"b\",\"took_us\":100000,\"depth\":0}",
+    "{\"ms\":250,\"process\":\"a\",\"event\":\"answer\",\"request\":"
+    "\"other\",\"status\":503,\"depth\":0}",
+    "not a line of a node",
+};
+static const char *const log_b[] = {
+    " 0.19 b {\"ms\":190,\"process\":\"b\",\"event\":\"target_failed\","
+    "\"request\":\"mid\",\"status\":500,\"node\":\"c\",\"took_us\":50000,"
+    "\"depth\":1}",
+    "{\"ms\":90,\"process\":\"b\",\"event\":\"answer\",\"request\":\"early\","
+    "\"status\":503,\"depth\":1}",
+    "{\"ms\":150,\"process\":\"b\",\"event\":\"served\",\"request\":\"fine\","
+    "\"status\":200,\"node\":\"c\",\"took_us\":9000,\"depth\":1}",
+};
+static const char *const log_c[] = {
+    "{\"ms\":180,\"process\":\"c\",\"event\":\"answer\",\"request\":\"low\","
+    "\"status\":503,\"reason\":\"level_refusal\",\"depth\":1}",
+    "{\"ms\":170,\"process\":\"d\",\"event\":\"door\",\"request\":\"low\","
+    "\"reason\":\"level_refusal\",\"depth\":1}",
+    "{\"ms\":\"mistyped\",\"process\":\"c\",\"request\":\"low\"}",
+};
+
+typedef struct explain_case {
+    const char *request;
+    const char *lines[5]; /* "below process request", in order; NULL ends */
+} explain_case;
+
+static const explain_case explain_cases[] = {
+    {"top", {"0 a top", "1 b mid", "2 d low", "2 c low"}},
+    {"mid", {"0 b mid", "1 d low", "1 c low"}},
+    {"low", {"0 d low", "0 c low"}},
+    {"fine", {"0 b fine"}},
+    {"nobody", {NULL}},
+};
+
+static void
+read_log(lgr *logs, const char *const *lines, size_t count)
+{
+    char path[] = "/tmp/lav-explain-XXXXXX";
+    int fd = mkstemp(path);
+    cr_assert_geq(fd, 0);
+    FILE *file = fdopen(fd, "w");
+    for (size_t i = 0; i < count; i++) {
+        fprintf(file, "%s\n", lines[i]);
+    }
+    fclose(file);
+    cr_assert_eq(lgr_read(logs, path, NULL), 0);
+    unlink(path);
+}
+
+Test(explain, a_request_and_the_calls_below_it)
+{
+    lgr *logs = NULL;
+    cr_assert_eq(lgr_new(&logs, NULL), 0);
+    read_log(logs, log_c, COUNT(log_c));
+    read_log(logs, log_a, COUNT(log_a));
+    read_log(logs, log_b, COUNT(log_b));
+    cr_expect_eq(lgr_unread(logs), 2);
+    for (size_t i = 0; i < COUNT(explain_cases); i++) {
+        const explain_case *c = &explain_cases[i];
+        json_t *lines = lgr_explain(logs, c->request);
+        size_t expected = 0;
+        while (c->lines[expected] != NULL) {
+            const json_t *line = json_array_get(lines, expected);
+            char text[64];
+            snprintf(text, sizeof(text), "%d %s %s",
+                     (int)json_integer_value(json_object_get(line, "below")),
+                     json_string_value(json_object_get(line, "process")),
+                     json_string_value(json_object_get(line, "request")));
+            cr_expect_str_eq(text, c->lines[expected], "%s", c->request);
+            expected++;
+        }
+        cr_expect_eq(json_array_size(lines), expected, "%s", c->request);
+        json_decref(lines);
+    }
+    lgr_free(logs);
+}
+
+Test(explain, a_log_that_is_missing)
+{
+    lgr *logs = NULL;
+    err e = ERR_INIT;
+    cr_assert_eq(lgr_new(&logs, &e), 0);
+    cr_expect_eq(lgr_read(logs, "/no/such/log", &e), ERR_IO);
+    lgr_free(logs);
+}
