ent, flt: a refusal names what holds it back; lost nodes are no second best

Nine were refused early; their lines didn't say by which service's overload, as the field 'level' gave way to the line's own level. The tenth failed on calls that, refused for want of a slot at both sound instances, were sent to a node that was known to be lost; 'member_lost' was written more than once for one loss. Ruled out: the order of attempts (sound ones came first). Tests: mesh_faults/a_refusal_names_the_last_reason, flow/a_lost_instance_ waits_until_it_is_found, both extended and failing before.

--- a/include/lav/gat.h
+++ b/include/lav/gat.h
@@ -44,6 +44,7 @@
                int64_t now_us);
 bool gat_admit(gat *g, uint32_t route, int priority, int64_t now_us);
 double gat_level_of(const gat *g, uint32_t route);
+uint32_t gat_service_of(const gat *g, uint32_t route);
 
 #ifdef __cplusplus
 }
--- a/src/core/flt.c
+++ b/src/core/flt.c
@@ -198,6 +198,18 @@
     return all > 0 ? (double)beside / all : 0;
 }
 
+/* Name of the service with that hash; empty where no node stands beside it. */
+const char *
+flt_service_name(const flt *f, uint32_t service)
+{
+    for (int i = 0; i < f->count; i++) {
+        if (f->members[i].known && f->members[i].service == service) {
+            return f->members[i].record.service;
+        }
+    }
+    return "";
+}
+
 /* Calls there for each that may run at once, as best as can be told. */
 double
 flt_load(const flt *f, int handle, int64_t now_us)
@@ -263,20 +275,26 @@
 }
 
 /* The instance for a call, or FLT_NONE.  One that rests is only taken when
- * all others rest as well, the one first whose rest ends first. */
+ * all rest, the one first whose rest ends first. */
 int
 flt_pick(flt *f, const flt_choice *choice, int64_t now_us)
 {
     int best = FLT_NONE;
     int resting = FLT_NONE;
+    bool all_rest = true;
     double least = 0;
     int fastest_us = flt_fastest_us(f, choice->service);
     for (int i = 0; i < f->count; i++) {
         flt_member *m = &f->members[i];
-        if (!flt_usable(m, choice->service) || flt_tried(choice, i)) {
+        bool rests = m->lost || now_us < m->rest_until_us;
+        if (!flt_usable(m, choice->service)) {
+            continue;
+        }
+        all_rest = all_rest && rests;
+        if (flt_tried(choice, i)) {
             continue;
         }
-        if (m->lost || now_us < m->rest_until_us) {
+        if (rests) {
             if (resting == FLT_NONE ||
                 m->rest_until_us < f->members[resting].rest_until_us) {
                 resting = i;
@@ -289,7 +307,7 @@
             least = cost;
         }
     }
-    return best != FLT_NONE ? best : resting;
+    return all_rest ? resting : best;
 }
 
 /* A call went there. */
@@ -353,12 +371,12 @@
     return FLT_NONE;
 }
 
-/* How long it has been lost; 0: it isn't. */
+/* How long it has been lost; -1: it isn't. */
 int64_t
 flt_lost_for_us(const flt *f, int handle, int64_t now_us)
 {
     const flt_member *m = &f->members[handle];
-    return m->known && m->lost ? now_us - m->lost_us : 0;
+    return m->known && m->lost ? now_us - m->lost_us : -1;
 }
 
 /* Its node has answered and is what its record says. */
--- a/src/core/gat.c
+++ b/src/core/gat.c
@@ -215,3 +215,11 @@
     const gat_service *s = gat_of_route(g, route);
     return s == NULL ? 1 : s->level;
 }
+
+/* Hash of the name of the service that holds a route back; 0: none does. */
+uint32_t
+gat_service_of(const gat *g, uint32_t route)
+{
+    const gat_service *s = gat_of_route(g, route);
+    return s == NULL || s->level >= 1 ? 0 : s->service;
+}
--- a/src/flow/rch.c
+++ b/src/flow/rch.c
@@ -37,8 +37,7 @@
     int turn = 0;
     for (int i = 0; i < flt_count(n->fleet); i++) {
         const flt_record *record = flt_get(n->fleet, i);
-        if (record != NULL &&
-            flt_lost_for_us(n->fleet, i, n->l->now_us) == 0 &&
+        if (record != NULL && flt_lost_for_us(n->fleet, i, n->l->now_us) < 0 &&
             (id_hash(record->node) ^ id_hash(lost)) < own) {
             turn++;
         }
@@ -136,7 +135,7 @@
     }
     bool any = false;
     for (int i = 0; i < flt_count(n->fleet) && !any; i++) {
-        any = flt_lost_for_us(n->fleet, i, n->l->now_us) > 0;
+        any = flt_lost_for_us(n->fleet, i, n->l->now_us) >= 0;
     }
     if (!any) {
         ev_timer_stop(loop, watcher);
@@ -175,7 +174,7 @@
     nod *n = r->n;
     const flt_record *record = flt_get(n->fleet, member);
     if (record != NULL &&
-        flt_lost_for_us(n->fleet, member, n->l->now_us) == 0) {
+        flt_lost_for_us(n->fleet, member, n->l->now_us) < 0) {
         log_event(LOG_WARN, "member_lost", NULL, "{s:s,s:s}", "node",
                   record->node, "instance", record->instance);
     }
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -133,6 +133,7 @@
     cr_expect_eq(answer.status, 503, "%d", answer.status);
     cr_expect(pfr_log_has(0, "\"request\":\"both-down\",\"status\":503,"
                              "\"reason\":\"target_down\""));
+    cr_expect(pfr_log_has(0, "\"begun_share\":1.0,\"held_back_by\":\"\""));
     pfr_clear(&answer);
 }
 
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -279,12 +279,16 @@
     flt_unreachable(fleet, 0, 1000);
     cr_expect_eq(flt_pick(fleet, &choice, 1000), 1);
     cr_expect_eq(flt_pick(fleet, &choice, 60000000), 1);
+    flt_choice again = choice; /* the sound one was tried: no second best */
+    again.tried[again.tried_count++] = 1;
+    cr_expect_eq(flt_pick(fleet, &again, 60000000), FLT_NONE);
     cr_expect_eq(flt_next_lost(fleet, 1000), FLT_NONE); /* not at once */
     cr_expect_eq(flt_next_lost(fleet, 1000 + FLT_REST_MIN_US), 0);
     cr_expect_eq(flt_next_lost(fleet, 1000 + FLT_REST_MIN_US), FLT_NONE);
     cr_expect_eq(flt_lost_for_us(fleet, 0, 5000), 4000);
+    cr_expect_eq(flt_lost_for_us(fleet, 0, 1000), 0);
     flt_found(fleet, 0);
-    cr_expect_eq(flt_lost_for_us(fleet, 0, 6000), 0);
+    cr_expect_eq(flt_lost_for_us(fleet, 0, 6000), -1);
     cr_expect_eq(flt_pick(fleet, &choice, 60000000), 0);
     flt_free(fleet);
 }
