tests, dps: the platform's rig takes proxies, loads and many nodes; peers_advertised

Cause: the fault soak needs the rig of mesh-tests with faults between nodes, and nodes could not be told that others reach them at another address. Change: addresses.peers_advertised; the rig's store knows conditional deletes, 410 and lost answers; its targets take a load of which a part goes wrong, and count what comes after they have closed; a proxy connection that has lost bytes stays silent, as a real one would.

--- a/include/lav/dps.h
+++ b/include/lav/dps.h
@@ -22,11 +22,13 @@
     char zone[SVC_NAME_SIZE];
     char callers[NST_ADDRESS_SIZE]; /* callers and the target's calls */
     char peers[NST_ADDRESS_SIZE];   /* other nodes */
-    char control[NST_ADDRESS_SIZE]; /* the target's registration */
-    char ready[NST_ADDRESS_SIZE];   /* the readiness probe */
-    char target[NST_ADDRESS_SIZE];  /* the target beside the node */
-    char store[NST_ADDRESS_SIZE];   /* the platform's store */
-    char metrics[NST_ADDRESS_SIZE]; /* counters and histograms */
+    char peers_advertised[NST_ADDRESS_SIZE]; /* where they reach it, if that
+                                              * differs; empty: `peers` */
+    char control[NST_ADDRESS_SIZE];          /* the target's registration */
+    char ready[NST_ADDRESS_SIZE];            /* the readiness probe */
+    char target[NST_ADDRESS_SIZE];           /* the target beside the node */
+    char store[NST_ADDRESS_SIZE];            /* the platform's store */
+    char metrics[NST_ADDRESS_SIZE];          /* counters and histograms */
     int log_level;
     int64_t heartbeat_ms; /* period of the target's registration */
     int64_t drain_ms;     /* a leaving target takes new work so long */
--- a/src/config/dps.c
+++ b/src/config/dps.c
@@ -34,9 +34,13 @@
 };
 
 static const tml_field dps_address_fields[] = {
-    DPS_TEXT("callers", callers, true), DPS_TEXT("peers", peers, true),
-    DPS_TEXT("control", control, true), DPS_TEXT("ready", ready, true),
-    DPS_TEXT("store", store, true),     DPS_TEXT("metrics", metrics, false),
+    DPS_TEXT("callers", callers, true),
+    DPS_TEXT("peers", peers, true),
+    DPS_TEXT("control", control, true),
+    DPS_TEXT("ready", ready, true),
+    DPS_TEXT("store", store, true),
+    DPS_TEXT("metrics", metrics, false),
+    DPS_TEXT("peers_advertised", peers_advertised, false),
 };
 
 static const tml_field dps_target_fields[] = {
--- a/src/flow/nod.c
+++ b/src/flow/nod.c
@@ -20,9 +20,12 @@
 nod_self_init(nod *n, err *e)
 {
     struct sockaddr_in at;
-    if (hls_address(&at, n->settings.peers) < 0) {
+    const char *peers = n->settings.peers_advertised[0] != '\0'
+                            ? n->settings.peers_advertised
+                            : n->settings.peers;
+    if (hls_address(&at, peers) < 0) {
         return ERR_SET(e, ERR_INVALID, "addresses.peers: \"%s\" is no address",
-                       n->settings.peers);
+                       peers);
     }
     flt_record *self = &n->self;
     g_strlcpy(self->node, n->settings.name, sizeof(self->node));
--- a/tests/integration/pfr.c
+++ b/tests/integration/pfr.c
@@ -13,8 +13,8 @@
 #include "pfr_private.h"
 #include "prc.h"
 
-#define PFR_PORTS 6 /* of a node: callers, peers, control, ready, target, - */
-#define PFR_SETTINGS_SIZE 2048
+#define PFR_PORTS 8      /* of a node, by enum pfr_port */
+#define PFR_DRAIN_MS 400 /* of a target, unless told otherwise */
 
 enum pfr_port {
     PFR_CALLERS,
@@ -22,7 +22,9 @@
     PFR_CONTROL,
     PFR_READY,
     PFR_TARGET,
-    PFR_METRICS
+    PFR_METRICS,
+    PFR_PEERS_PROXY,
+    PFR_STORE_PROXY
 };
 
 typedef struct pfr_node {
@@ -33,6 +35,8 @@
     char instance[64];
     long born;
     int sequence;
+    prx *peers_proxy;
+    prx *store_proxy;
 } pfr_node;
 
 pthread_mutex_t pfr_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -41,7 +45,9 @@
 static int pfr_node_count;
 static int pfr_store_port;
 static int pfr_store_fd;
-static char pfr_folder[] = "/tmp/lav-platform-test-XXXXXX";
+static pfr_options pfr_opts;
+#define PFR_FOLDER "/tmp/lav-platform-test-XXXXXX"
+static char pfr_folder[] = PFR_FOLDER;
 
 void
 pfr_sleep_ms(int ms)
@@ -54,20 +60,25 @@
 {
     char path[128];
     const pfr_node *k = &pfr_nodes[node];
+    bool proxied = k->peers_proxy != NULL;
     snprintf(path, sizeof(path), "%s/node%d.toml", pfr_folder, node);
     FILE *file = fopen(path, "w");
     fprintf(file,
             "[node]\nname = \"node%d\"\nzone = \"z%d\"\nstop_grace = \"5s\"\n"
             "[addresses]\ncallers = \"127.0.0.1:%d\"\n"
-            "peers = \"127.0.0.1:%d\"\ncontrol = \"127.0.0.1:%d\"\n"
+            "peers = \"127.0.0.1:%d\"\npeers_advertised = "
+            "\"127.0.0.1:%d\"\ncontrol = \"127.0.0.1:%d\"\n"
             "ready = \"127.0.0.1:%d\"\nstore = \"127.0.0.1:%d\"\n"
             "metrics = \"127.0.0.1:%d\"\n"
             "[target]\nservice = \"%s\"\naddress = \"127.0.0.1:%d\"\n"
-            "heartbeat = \"1s\"\ndrain = \"400ms\"\n"
+            "heartbeat = \"1s\"\ndrain = \"%dms\"\n"
             "[retries]\nratio = 0.5\nslack = 100\n",
             node, node % 2, k->ports[PFR_CALLERS], k->ports[PFR_PEERS],
-            k->ports[PFR_CONTROL], k->ports[PFR_READY], pfr_store_port,
-            k->ports[PFR_METRICS], k->service, k->ports[PFR_TARGET]);
+            k->ports[proxied ? PFR_PEERS_PROXY : PFR_PEERS],
+            k->ports[PFR_CONTROL], k->ports[PFR_READY],
+            proxied ? k->ports[PFR_STORE_PROXY] : pfr_store_port,
+            k->ports[PFR_METRICS], k->service, k->ports[PFR_TARGET],
+            pfr_opts.drain_ms > 0 ? pfr_opts.drain_ms : PFR_DRAIN_MS);
     fclose(file);
 }
 
@@ -92,6 +103,16 @@
 void
 pfr_start(int nodes, const char *const *services)
 {
+    pfr_options usual = {0};
+    pfr_start_with(nodes, services, &usual);
+}
+
+/* The same, differing from the usual deployment. */
+void
+pfr_start_with(int nodes, const char *const *services, const pfr_options *opts)
+{
+    pfr_opts = *opts;
+    snprintf(pfr_folder, sizeof(pfr_folder), PFR_FOLDER);
     signal(SIGPIPE, SIG_IGN);
     if (mkdtemp(pfr_folder) == NULL) {
         abort();
@@ -112,6 +133,12 @@
         k->born = 1000;
         k->sequence = 0;
         k->target_fd = pfr_listen(k->ports[PFR_TARGET], i, pfr_serve_target);
+        if (opts->proxied) {
+            k->peers_proxy =
+                prx_start(k->ports[PFR_PEERS_PROXY], k->ports[PFR_PEERS]);
+            k->store_proxy =
+                prx_start(k->ports[PFR_STORE_PROXY], pfr_store_port);
+        }
         pfr_write_settings(i);
         pfr_start_node(i);
     }
@@ -122,8 +149,43 @@
 pfr_stop(void)
 {
     for (int i = 0; i < pfr_node_count; i++) {
-        prc_kill(&pfr_nodes[i].pid);
+        pfr_node *k = &pfr_nodes[i];
+        prc_kill(&k->pid);
+        prx_stop(k->peers_proxy);
+        prx_stop(k->store_proxy);
+        shutdown(k->target_fd, SHUT_RDWR);
+        close(k->target_fd);
+        *k = (pfr_node){0};
     }
+    shutdown(pfr_store_fd, SHUT_RDWR);
+    close(pfr_store_fd);
+    pfr_node_count = 0;
+}
+
+/* Proxies of a node, where the deployment has them. */
+prx *
+pfr_peers_proxy(int node)
+{
+    return pfr_nodes[node].peers_proxy;
+}
+
+prx *
+pfr_store_proxy(int node)
+{
+    return pfr_nodes[node].store_proxy;
+}
+
+/* Whether the process of a node runs. */
+bool
+pfr_node_lives(int node)
+{
+    return pfr_nodes[node].pid > 0 && prc_wait(&pfr_nodes[node].pid, 0) < 0;
+}
+
+const char *
+pfr_logs(void)
+{
+    return pfr_folder;
 }
 
 /* The target beside a node stops, or goes on, accepting connections. */
@@ -134,6 +196,7 @@
     if (refuse) {
         shutdown(k->target_fd, SHUT_RDWR);
         close(k->target_fd);
+        k->target_fd = -1;
     }
     else {
         k->target_fd =
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -8,16 +8,20 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <sys/types.h>
 
-#define PFR_NODES_MAX 4
+#include "prx.h"
+
+#define PFR_NODES_MAX 128
 #define PFR_BODY_MAX (4 * 1024 * 1024)
 
 /* What the store does with a call. */
 enum pfr_store_mode {
     PFR_STORE_UP,
-    PFR_STORE_BUSY,  /* 503: nothing done */
-    PFR_STORE_SILENT /* takes the call and never answers */
+    PFR_STORE_BUSY,   /* 503: nothing done */
+    PFR_STORE_SILENT, /* takes the call and never answers */
+    PFR_STORE_LOST    /* does a write, and closes without an answer */
 };
 
 typedef struct pfr_answer {
@@ -28,7 +32,19 @@
     bool whole;
 } pfr_answer;
 
+/* How a deployment differs from the usual one. */
+typedef struct pfr_options {
+    int drain_ms; /* 0: 400 */
+    bool proxied; /* proxies before each node's peers' port and the store */
+} pfr_options;
+
 void pfr_start(int nodes, const char *const *services);
+void pfr_start_with(int nodes, const char *const *services,
+                    const pfr_options *opts);
+prx *pfr_peers_proxy(int node);
+prx *pfr_store_proxy(int node);
+bool pfr_node_lives(int node);
+const char *pfr_logs(void); /* the folder */
 void pfr_stop(void);
 void pfr_store_mode(enum pfr_store_mode mode);
 int pfr_store_writes(void);
@@ -60,7 +76,11 @@
 int pfr_runs(const char *id);     /* times that targets ran a request */
 int pfr_arrivals(const char *id); /* times that it reached a target */
 int pfr_run_node(const char *id); /* node beside the last, or -1 */
-bool pfr_cut(const char *id);     /* its connection closed while it ran */
+void pfr_trouble(int permille);   /* of the requests for /x/mix go wrong */
+void pfr_target_closes(int node, int64_t at_us); /* nothing from then on */
+int pfr_late_arrivals(void);                     /* that came all the same */
+int pfr_all_arrivals(int *repeats); /* at targets; beyond the first of an id */
+bool pfr_cut(const char *id);       /* its connection closed while it ran */
 const char *pfr_seen_head(const char *id); /* as the target last had it */
 size_t pfr_seen_body(const char *id);
 
--- a/tests/integration/pfr_store.c
+++ b/tests/integration/pfr_store.c
@@ -8,8 +8,8 @@
 /* The stand-in of the platform's store: objects by kind and name, revisions,
  * conditional writes, watches that are answered by polling. */
 
-#define PFR_OBJECTS_MAX 64
-#define PFR_EVENTS_MAX 256
+#define PFR_OBJECTS_MAX 512
+#define PFR_EVENTS_MAX 1024 /* the oldest are forgotten */
 
 typedef struct pfr_object {
     char kind[32];
@@ -27,6 +27,7 @@
 static pfr_event pfr_events[PFR_EVENTS_MAX];
 static int pfr_event_count;
 static long pfr_revision = 1;
+static long pfr_forgotten; /* changes up to it are no longer known */
 static int pfr_writes;
 static enum pfr_store_mode pfr_mode;
 
@@ -79,7 +80,11 @@
 pfr_happened(const pfr_object *o, bool deleted)
 {
     if (pfr_event_count == PFR_EVENTS_MAX) {
-        abort();
+        pfr_forgotten = pfr_events[0].revision;
+        json_decref(pfr_events[0].event);
+        memmove(pfr_events, pfr_events + 1,
+                sizeof(pfr_events[0]) * (PFR_EVENTS_MAX - 1));
+        pfr_event_count--;
     }
     pfr_event *e = &pfr_events[pfr_event_count++];
     e->revision = pfr_revision;
@@ -180,7 +185,7 @@
         json_decref(changes);
         pthread_mutex_lock(&pfr_lock);
         changes = pfr_changes(kind, after);
-        bool up = pfr_mode == PFR_STORE_UP;
+        bool up = pfr_mode == PFR_STORE_UP || pfr_mode == PFR_STORE_LOST;
         pthread_mutex_unlock(&pfr_lock);
         if (json_array_size(json_object_get(changes, "events")) > 0 || !up) {
             break;
@@ -224,15 +229,29 @@
     return status;
 }
 
+static long
+pfr_revision_of(const pfr_object *o)
+{
+    return (long)json_integer_value(
+        json_object_get(json_object_get(o->object, "metadata"), "revision"));
+}
+
 static int
-pfr_delete(json_t **out, const char *kind, const char *name)
+pfr_delete(json_t **out, const char *path, const char *kind, const char *name)
 {
     pfr_object *o = pfr_find(kind, name);
+    const char *condition = strstr(path, "revision=");
     *out = json_object();
     pfr_writes++;
     if (o == NULL) {
         return 404;
     }
+    if (condition != NULL && strtol(condition + strlen("revision="), NULL,
+                                    10) != pfr_revision_of(o)) {
+        json_decref(*out);
+        *out = json_incref(o->object);
+        return 409;
+    }
     pfr_revision++;
     pfr_happened(o, true);
     json_decref(o->object);
@@ -248,8 +267,9 @@
     sscanf(request->path, "/api/objects/%31[^/?]/%63[^?]", kind, name);
     const char *watch = strstr(request->path, "watch=");
     if (strcmp(request->method, "GET") == 0 && watch != NULL) {
-        *out = pfr_watch(kind, strtol(watch + strlen("watch="), NULL, 10));
-        return 200;
+        long after = strtol(watch + strlen("watch="), NULL, 10);
+        *out = pfr_watch(kind, after);
+        return after < pfr_forgotten ? 410 : 200;
     }
     int status = 200;
     pthread_mutex_lock(&pfr_lock);
@@ -257,7 +277,7 @@
         *out = pfr_list(kind);
     }
     else if (strcmp(request->method, "DELETE") == 0) {
-        status = pfr_delete(out, kind, name);
+        status = pfr_delete(out, request->path, kind, name);
     }
     else {
         status = pfr_write(out, request, kind, name);
@@ -284,6 +304,10 @@
         if (status == 0) {
             status = pfr_handle(&answer, &request);
         }
+        if (mode == PFR_STORE_LOST && strcmp(request.method, "GET") != 0) {
+            json_decref(answer);
+            break; /* done, and not answered */
+        }
         char *text = answer == NULL ? strdup("{}") : json_dumps(answer, 0);
         pfr_reply(fd, status, "Content-Type: application/json\r\n", text,
                   strlen(text));
--- a/tests/integration/pfr_target.c
+++ b/tests/integration/pfr_target.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -5,71 +6,135 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "lav/clk.h"
+#include "lav/id.h"
 #include "pfr_private.h"
 
 /* The stand-in of the targets.  The last word of a path says what becomes of
  * a request: /x/ok, /x/shed, and so on; "-at-N" limits that to node N. */
 
-#define PFR_RECORDS_MAX 4096
 #define PFR_ID_SIZE 64
+#define PFR_WORK_MS 5      /* of a request for /x/mix */
+#define PFR_WORK_SPREAD 20 /* ... and up to so much more */
+#define PFR_THOUSAND 1000  /* of which pfr_trouble() tells a part */
 
 typedef struct pfr_record {
-    char id[PFR_ID_SIZE];
     int runs;
     int arrivals;
     int node;
     bool cut;
-    char head[2048];
+    char *head; /* kept for single requests, not for a load; owned */
     size_t body;
 } pfr_record;
 
-static pfr_record pfr_records[PFR_RECORDS_MAX];
-static int pfr_record_count;
+static GHashTable *pfr_records; /* id -> pfr_record */
 static char pfr_names[PFR_NODES_MAX][64];
+static int64_t
+    pfr_closed_us[PFR_NODES_MAX]; /* nothing from then on; 0: open */
+static int pfr_late;
+static int pfr_total;
+static int pfr_repeated;
+static int pfr_permille;
+
+static void
+pfr_free_record(gpointer payload)
+{
+    pfr_record *r = payload;
+    g_free(r->head);
+    g_free(r);
+}
 
 static pfr_record *
 pfr_record_of(const char *id)
 {
-    for (int i = 0; i < pfr_record_count; i++) {
-        if (strcmp(pfr_records[i].id, id) == 0) {
-            return &pfr_records[i];
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(pfr_records, id);
 }
 
 void
 pfr_target_reset(void)
 {
-    pfr_record_count = 0;
+    if (pfr_records != NULL) {
+        g_hash_table_destroy(pfr_records);
+    }
+    pfr_records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        pfr_free_record);
+    memset(pfr_closed_us, 0, sizeof(pfr_closed_us));
+    pfr_late = 0;
+    pfr_total = 0;
+    pfr_repeated = 0;
+    pfr_permille = 0;
 }
 
+/* The target beside a node is another one from now on. */
 void
 pfr_target_name(int node, const char *instance)
 {
     pthread_mutex_lock(&pfr_lock);
     snprintf(pfr_names[node], sizeof(pfr_names[node]), "%s", instance);
+    pfr_closed_us[node] = 0;
+    pthread_mutex_unlock(&pfr_lock);
+}
+
+void
+pfr_target_closes(int node, int64_t at_us)
+{
+    pthread_mutex_lock(&pfr_lock);
+    pfr_closed_us[node] = at_us;
+    pthread_mutex_unlock(&pfr_lock);
+}
+
+void
+pfr_trouble(int permille)
+{
+    pthread_mutex_lock(&pfr_lock);
+    pfr_permille = permille;
     pthread_mutex_unlock(&pfr_lock);
 }
 
+int
+pfr_late_arrivals(void)
+{
+    pthread_mutex_lock(&pfr_lock);
+    int late = pfr_late;
+    pthread_mutex_unlock(&pfr_lock);
+    return late;
+}
+
+int
+pfr_all_arrivals(int *repeats)
+{
+    pthread_mutex_lock(&pfr_lock);
+    int all = pfr_total;
+    *repeats = pfr_repeated;
+    pthread_mutex_unlock(&pfr_lock);
+    return all;
+}
+
+/* A request has come, or (`runs` -1) its connection went while it ran. */
 static void
 pfr_note(const char *id, const pfr_request *request, int node, int runs)
 {
     pthread_mutex_lock(&pfr_lock);
     pfr_record *r = pfr_record_of(id);
-    if (r == NULL && pfr_record_count < PFR_RECORDS_MAX) {
-        r = &pfr_records[pfr_record_count++];
-        *r = (pfr_record){0};
-        snprintf(r->id, sizeof(r->id), "%s", id);
-    }
-    if (r != NULL) {
-        r->arrivals += runs >= 0;
-        r->runs += runs > 0;
-        r->node = node;
-        r->cut = r->cut || runs < 0;
-        snprintf(r->head, sizeof(r->head), "%.2000s", request->head);
-        r->body = request->length;
+    if (r == NULL) {
+        r = g_new0(pfr_record, 1);
+        g_hash_table_insert(pfr_records, g_strdup(id), r);
     }
+    if (runs >= 0) {
+        pfr_total++;
+        pfr_repeated += r->arrivals > 0;
+        pfr_late +=
+            pfr_closed_us[node] != 0 && clk_now_us() > pfr_closed_us[node];
+    }
+    r->arrivals += runs >= 0;
+    r->runs += runs > 0;
+    r->node = node;
+    r->cut = r->cut || runs < 0;
+    if (strstr(request->path, "/mix") == NULL) {
+        g_free(r->head);
+        r->head = g_strdup(request->head);
+    }
+    r->body = request->length;
     pthread_mutex_unlock(&pfr_lock);
 }
 
@@ -94,7 +159,8 @@
     static char copy[2048];
     pthread_mutex_lock(&pfr_lock);
     const pfr_record *r = pfr_record_of(id);
-    snprintf(copy, sizeof(copy), "%s", r == NULL ? "" : r->head);
+    snprintf(copy, sizeof(copy), "%s",
+             r == NULL || r->head == NULL ? "" : r->head);
     pthread_mutex_unlock(&pfr_lock);
     return copy;
 }
@@ -115,13 +181,33 @@
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 }
 
+/* A load: a part of the requests goes wrong, by the hash of their id. */
+static void
+pfr_mix(char *out, size_t size, const char *id)
+{
+    static const char *const troubles[] = {"shed", "reset",   "cut",   "fail",
+                                           "late", "garbage", "extra", "slow"};
+    uint64_t hash = id_hash(id);
+    pthread_mutex_lock(&pfr_lock);
+    bool trouble = (int)(hash % PFR_THOUSAND) < pfr_permille;
+    pthread_mutex_unlock(&pfr_lock);
+    pfr_sleep_ms(PFR_WORK_MS + (int)(hash / PFR_THOUSAND % PFR_WORK_SPREAD));
+    snprintf(out, size, "%s",
+             trouble ? troubles[hash / PFR_THOUSAND % G_N_ELEMENTS(troubles)]
+                     : "ok");
+}
+
 /* The mode of a request here. */
 static void
-pfr_mode_of(char *out, size_t size, const char *path, int node)
+pfr_mode_of(char *out, size_t size, const char *path, const char *id, int node)
 {
     const char *word = strrchr(path, '/') + 1;
     const char *at = strstr(word, "-at-");
     snprintf(out, size, "%s", word);
+    if (strcmp(word, "mix") == 0) {
+        pfr_mix(out, size, id);
+        return;
+    }
     if (strcmp(word, "reset-or-shed") == 0) {
         snprintf(out, size, node == 1 ? "reset" : "shed");
     }
@@ -248,7 +334,7 @@
             pfr_reply(fd, 421, headers, "", 0);
             continue;
         }
-        pfr_mode_of(mode, sizeof(mode), request.path, node);
+        pfr_mode_of(mode, sizeof(mode), request.path, id, node);
         open = pfr_answer_to(fd, &request, id, mode, node);
     }
     free(request.body);
--- a/tests/integration/prx.c
+++ b/tests/integration/prx.c
@@ -27,8 +27,9 @@
 
 typedef struct prx_pair {
     prx *owner;
-    int near; /* who connected */
-    int far;  /* whom the proxy stands for */
+    int near;     /* who connected */
+    int far;      /* whom the proxy stands for */
+    bool lost[2]; /* bytes that way, or replies: nothing more can pass */
 } prx_pair;
 
 static struct sockaddr_in
@@ -56,15 +57,21 @@
 
 /* Move what is there one way; false where the connection is over. */
 static bool
-prx_move(prx *p, int from, int to, bool reply)
+prx_move(prx_pair *pair, bool reply)
 {
+    prx *p = pair->owner;
+    int from = reply ? pair->far : pair->near;
+    int to = reply ? pair->near : pair->far;
     char buffer[PRX_BUFFER_SIZE];
     ssize_t length = recv(from, buffer, sizeof(buffer), 0);
     int mode = atomic_load(&p->mode);
     if (length <= 0 || mode == PRX_CUT) {
         return false;
     }
-    if (mode == PRX_HOLD) {
+    if (mode == PRX_HOLD || (reply && mode == PRX_HOLD_REPLY)) {
+        pair->lost[reply] = true;
+    }
+    if (pair->lost[reply]) {
         return true; /* swallowed */
     }
     if (reply && mode == PRX_CUT_REPLY) {
@@ -90,10 +97,10 @@
             continue;
         }
         if (fds[0].revents != 0) {
-            open = prx_move(p, pair->near, pair->far, false);
+            open = prx_move(pair, false);
         }
         if (open && fds[1].revents != 0) {
-            open = prx_move(p, pair->far, pair->near, true);
+            open = prx_move(pair, true);
         }
     }
     close(pair->near);
@@ -117,7 +124,7 @@
         free(pair);
         return;
     }
-    *pair = (prx_pair){p, near, far};
+    *pair = (prx_pair){p, near, far, {false, false}};
     atomic_fetch_add(&p->connections, 1);
     if (pthread_create(&thread, NULL, prx_serve, pair) == 0) {
         pthread_detach(thread);
--- a/tests/integration/prx.h
+++ b/tests/integration/prx.h
@@ -6,10 +6,12 @@
 
 enum prx_mode {
     PRX_PASS,
-    PRX_CUT,       /* closes every connection, and new ones at once */
-    PRX_HOLD,      /* takes connections and bytes, and passes nothing on */
-    PRX_CUT_REPLY, /* passes requests on, closes when the reply comes */
-    PRX_SLOW       /* passes every reply on 150 ms late */
+    PRX_CUT,        /* closes every connection, and new ones at once */
+    PRX_HOLD,       /* takes connections and bytes, and passes nothing on;
+                    * a connection that lost bytes stays silent for good */
+    PRX_HOLD_REPLY, /* the same, towards who connected only */
+    PRX_CUT_REPLY,  /* passes requests on, closes when the reply comes */
+    PRX_SLOW        /* passes every reply on 150 ms late */
 };
 
 typedef struct prx prx;
