soak: a fault soak of real nodes with faults from outside

Change: lav-soak plays seeds: nodes as processes, proxies before each node's peers' port and store, signals, targets that crash, drain, leave and answer wrong, changes of the desired state; callers keep their connections. Not covered: wall clocks that jump (no way to do so from outside a process).

--- /dev/null
+++ b/tests/soak/sok_caller.c
@@ -0,0 +1,121 @@
+/* Callers: each keeps its connection until the node closes it. */
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lav/clk.h"
+#include "sok.h"
+
+#define SOK_PAUSE_MS 15 /* between two requests of one caller */
+
+typedef struct sok_kind {
+    const char *method;
+    const char *path;
+    bool idempotent;
+} sok_kind;
+
+static const sok_kind sok_kinds[] = {
+    {"GET", "/i/mix", true},
+    {"POST", "/n/mix", false},
+    {"POST", "/m/mix", false},
+    {"GET", "/r/mix", true},
+};
+
+static atomic_int sok_caller_count;
+
+/* A success is the target's whole answer to this very request. */
+static void
+sok_check_answer(sok *s, const char *id, const pfr_answer *answer)
+{
+    char body[SOK_ID_SIZE * 2];
+    char seal[SOK_ID_SIZE * 2];
+    if (answer->status != 200) {
+        return;
+    }
+    snprintf(body, sizeof(body), "answer to %s", id);
+    snprintf(seal, sizeof(seal), "Seal: seal-of-%s\r\n", id);
+    if (!answer->whole || answer->length != strlen(body) ||
+        memcmp(answer->body, body, answer->length) != 0) {
+        sok_find(s, "%s: a success with another body", id);
+    }
+    if (strstr(answer->head, seal) == NULL) {
+        sok_find(s, "%s: a success without the target's seal", id);
+    }
+}
+
+static void
+sok_check_time(sok *s, const sok_node *node, const char *id, int64_t sent_us,
+               int status)
+{
+    int64_t now_us = clk_now_us();
+    int64_t most_us = (int64_t)(SOK_TIMEOUT_MS + SOK_LATE_MS) * CLK_US_PER_MS;
+    bool held =
+        atomic_load(&node->held_us) >= sent_us || !atomic_load(&node->up);
+    if (s->opts.timed && !held && now_us - sent_us > most_us) {
+        sok_find(s, "%s: status %d after %lld ms", id, status,
+                 (long long)((now_us - sent_us) / CLK_US_PER_MS));
+    }
+}
+
+/* One request on `*fd`, which is opened if need be and closed after its last
+ * answer. */
+static void
+sok_request(sok *s, const sok_node *node, int *fd, const sok_kind *kind,
+            const char *id)
+{
+    char request[512];
+    pfr_answer answer;
+    sok_result result = {.idempotent = kind->idempotent};
+    bool fresh = *fd < 0;
+    if (fresh) {
+        *fd = pfr_connect(node->index);
+    }
+    if (*fd < 0) {
+        pfr_sleep_ms(SOK_PAUSE_MS);
+        return;
+    }
+    int size = snprintf(request, sizeof(request),
+                        "%s %s HTTP/1.1\r\nHost: h.example\r\n"
+                        "Lavenderfield-Attempt-Id: %s\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        kind->method, kind->path, id);
+    int64_t sent_us = clk_now_us();
+    pfr_send(*fd, request, (size_t)size);
+    pfr_read_answer(&answer, *fd);
+    sok_check_answer(s, id, &answer);
+    sok_check_time(s, node, id, sent_us, answer.status);
+    g_strlcpy(result.id, id, sizeof(result.id));
+    result.status = answer.status;
+    if (answer.status == 0 ||
+        strstr(answer.head, "Connection: close") != NULL) {
+        close(*fd);
+        *fd = -1;
+    }
+    pfr_clear(&answer);
+    pthread_mutex_lock(&s->lock);
+    g_array_append_val(s->results, result);
+    pthread_mutex_unlock(&s->lock);
+}
+
+/* A caller at one node, until the soak stops. */
+void *
+sok_call(void *payload)
+{
+    const sok_node *node = payload;
+    sok *s = node->s;
+    int number = atomic_fetch_add(&sok_caller_count, 1);
+    GRand *random = g_rand_new_with_seed((guint32)(s->opts.seed + number));
+    int fd = -1;
+    for (int i = 0; !atomic_load(&s->stopped); i++) {
+        char id[SOK_ID_SIZE];
+        int kind = g_rand_int_range(random, 0, G_N_ELEMENTS(sok_kinds));
+        snprintf(id, sizeof(id), "s%d-%d-%d", s->opts.seed, number, i);
+        sok_request(s, node, &fd, &sok_kinds[kind], id);
+        pfr_sleep_ms(g_rand_int_range(random, 0, 2 * SOK_PAUSE_MS));
+    }
+    if (fd >= 0) {
+        close(fd);
+    }
+    g_rand_free(random);
+    return NULL;
+}
