prs, fwd: an answer is claimed after its hop broke

Cause: a connection between two nodes that was reset while a request ran cost the request: 502 for one that must not run twice, a second run for the others, as the far node cancelled the run (STATUS, 'not done'). Weighed: asking for the record only (it says what is unknown, and the answer is lost all the same); keeping answers of all attempts (memory for nothing). Change: the far node lets the run go on for 0.3 s, less than a run may outlast its caller; the near one asks for it on a new connection and takes the answer as if the hop had not broken. Another start's record, or an idempotent request's, is no proof that it has not run. Tests: mesh_hops/* (answers_are_claimed failed before: 502 and second runs).

--- a/include/lav/reason.h
+++ b/include/lav/reason.h
@@ -49,6 +49,7 @@
     X(ALREADY_RAN, "already_ran")                                             \
     X(REPLAYED, "replayed")                                                   \
     X(REPLY_LOST, "reply_lost")                                               \
+    X(REPLY_CLAIMED, "reply_claimed")                                         \
     X(REPLY_TIMEOUT, "reply_timeout")                                         \
     X(REPLY_TRUNCATED, "reply_truncated")                                     \
     X(REPLY_TOO_LARGE, "reply_too_large")                                     \
--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -21,6 +21,8 @@
 #define FWD_IDLE_US 15000000  /* 15 s; below HPL_KEEP_US */
 #define FWD_PATH_SIZE 64      /* bytes of a path, with the NUL */
 
+static const hcn_handlers fwd_handlers;
+
 struct fwd {
     nod *n;
     att_request *r;
@@ -31,6 +33,7 @@
     size_t sent;
     bool ended; /* all of the body is queued */
     bool answered;
+    bool claimed; /* the hop broke, and its answer was asked for anew */
     uint64_t nonce;
     uint64_t incarnation; /* of the far node, as it was known at the start */
     struct sockaddr_in to;
@@ -94,15 +97,46 @@
     }
 }
 
+/* The connection broke after all of the request was sent: the far node may
+ * have it, and keeps the answer for a moment.  Ask for it on a new
+ * connection; nothing is run again. */
+static int
+fwd_claim(fwd *f)
+{
+    hpl_drop(f->n->pool, &f->to);
+    if (hcn_connect(&f->c, f->n->l, &f->to, FWD_CONNECT_US, &fwd_handlers, f) <
+        0) {
+        f->c = NULL;
+        return ERR_UNAVAILABLE;
+    }
+    f->claimed = true;
+    hcn_probe_silence(f->c);
+    hbf_addf(hcn_out(f->c),
+             "GET " FWD_CLAIM_PATH "%" PRIx64 " HTTP/1.1\r\n"
+             "Host: peer\r\n\r\n",
+             f->nonce);
+    hcn_expect_answer(f->c, false);
+    ctr_reason(REASON_REPLY_CLAIMED);
+    return 0;
+}
+
 static void
 fwd_on_end(hcn *c, enum hcn_end end, void *payload)
 {
     fwd *f = payload;
     bool connected = hcn_connected(c);
+    bool claimable = f->ended && !f->answered && !f->claimed &&
+                     strcmp(f->r->method, "HEAD") != 0;
     f->c = NULL;
     hcn_close(c);
     (void)end;
-    if (!connected) {
+    if (f->claimed) {
+        fwd_fail(f, OUTCOME_UNKNOWN, REASON_REPLY_LOST, true);
+    }
+    else if (connected && claimable && fwd_claim(f) == 0) {
+        return;
+    }
+    else if (!connected) {
         rch_lost(f->n->reach, f->member);
         fwd_fail(f, OUTCOME_NOT_RUN, REASON_PEER_UNREACHABLE, false);
     }
@@ -122,6 +156,12 @@
         fwd_on_end(c, HCN_MALFORMED, f);
         return HCN_CLOSED;
     }
+    if (f->claimed && f->reply.outcome == OUTCOME_NOT_RUN &&
+        (f->r->idempotent || f->reply.incarnation != f->incarnation)) {
+        /* No record is kept of idempotent ones, nor by another start. */
+        f->reply.outcome = OUTCOME_UNKNOWN;
+        f->reply.reached = true;
+    }
     flt_reported(f->n->fleet, f->member, &f->reply.report, f->n->l->now_us);
     if (f->reply.reason == REASON_NO_TARGET &&
         f->reply.report.state == FLT_READY) {
--- a/src/flow/fwd.h
+++ b/src/flow/fwd.h
@@ -1,7 +1,8 @@
 /*
- * fwd: an attempt through the node beside another instance.  A connection
- * that breaks after the request was sent leaves a question open: for a
- * request that must not run twice the far node is asked over a new one.
+ * fwd: an attempt through the node beside another instance.  Where the
+ * connection breaks after the whole request was sent, the answer is claimed
+ * over a new one: the far node goes on for a moment.  Where it breaks earlier,
+ * the far node is asked for its record of a request that must not run twice.
  */
 #ifndef LAV_FWD_H
 #define LAV_FWD_H
@@ -9,6 +10,7 @@
 #include "att.h"
 #include "nod.h"
 
+#define FWD_CLAIM_PATH "/lav/claim/"   /* + the attempt's nonce */
 #define FWD_CANCEL_PATH "/lav/cancel/" /* and the nonce, hexadecimal */
 
 typedef struct fwd fwd;
--- a/src/flow/nod.c
+++ b/src/flow/nod.c
@@ -54,6 +54,7 @@
     n->decode = decode;
     n->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    n->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
     int result = nod_self_init(n, e);
     if (result == 0 && (hlp_new(&n->l) < 0 || hpl_new(&n->pool, n->l) < 0 ||
                         flt_new(&n->fleet, nod_random()) < 0 ||
@@ -82,6 +83,7 @@
     gat_free(n->gate);
     rts_free(n->routes);
     g_hash_table_destroy(n->budgets);
+    g_hash_table_destroy(n->claims);
     g_free(n->routes_text);
     free(n);
 }
--- a/src/flow/nod.h
+++ b/src/flow/nod.h
@@ -62,6 +62,7 @@
     uint32_t service;    /* hash of the name of the service beside this node */
     int self_handle;     /* in the fleet, or FLT_NONE */
     GHashTable *budgets; /* service -> rbw */
+    GHashTable *claims;  /* nonce -> attempt of another node that runs here */
     struct lcl *local;   /* the target beside this node */
     struct rch *reach;   /* nodes that could not be reached */
     bool fetching;       /* a peer has been asked for its state */
--- a/src/flow/prs.c
+++ b/src/flow/prs.c
@@ -1,4 +1,4 @@
-#include "prs.h"
+#include "prs_private.h"
 
 #include <arpa/inet.h>
 #include <http_parser.h>
@@ -9,33 +9,17 @@
 #include <unistd.h>
 
 #include "fwd.h"
-#include "hop.h"
 #include "lav/clk.h"
 #include "lav/ctr.h"
 #include "lav/log.h"
-#include "lcl.h"
 #include "rch.h"
 #include "rec.h"
-#include "rsp.h"
 #include "syc.h"
 
 #define PRS_HEAD_MAX 131072    /* bytes; twice what callers may send */
 #define PRS_IDLE_US 60000000LL /* 60 s; over HPL_KEEP_US of the clients */
 #define PRS_PATH_SIZE 128      /* bytes of a path, with the NUL */
 #define PRS_HEX 16             /* base of a nonce */
-#define PRS_LATE_US                                                           \
-    300000 /* 0.3 s that an attempt may outlast its
-                                   * caller's wait: its node ends it before */
-
-typedef struct prs_request {
-    nod *n;
-    rsp *s;
-    att_request r;
-    hop_ask ask;
-    lcl_call *call;
-    bool answered;
-} prs_request;
-
 static const hcn_handlers prs_handlers;
 static const att_sink prs_sink;
 
@@ -61,31 +45,39 @@
     hcn_expire(s->c, n->l->now_us + PRS_IDLE_US);
 }
 
-static void
+/* Release a request whose call is over. */
+void
 prs_free(prs_request *q)
 {
-    q->n->requests--;
+    nod *n = q->n;
+    n->requests--;
+    if (g_hash_table_lookup(n->claims, &q->ask.nonce) == q) {
+        g_hash_table_remove(n->claims, &q->ask.nonce);
+    }
+    ev_timer_stop(n->l->loop, &q->forget);
+    hbf_clear(&q->kept.fields);
+    hbf_clear(&q->kept.body);
     att_request_clear(&q->r);
     free(q);
 }
 
 static void
-prs_write_reply(prs_request *q, hbf *fields, enum outcome outcome,
+prs_write_reply(nod *n, uint32_t route, hbf *fields, enum outcome outcome,
                 enum reason reason, bool reached)
 {
-    nod *n = q->n;
     hop_reply reply = {.outcome = outcome,
                        .reason = reason,
                        .reached = reached,
                        .config_version = nod_version(n),
                        .incarnation = n->self.incarnation,
                        .report = lcl_report(n->local),
-                       .origin = chn_origin_of(n->chains, q->r.route),
-                       .strain = lcl_strain(n->local, q->r.route)};
+                       .origin = chn_origin_of(n->chains, route),
+                       .strain = lcl_strain(n->local, route)};
     hop_write_reply(fields, &reply);
 }
 
-static void
+/* The answer is complete. */
+void
 prs_finish(prs_request *q)
 {
     rsp *s = q->s;
@@ -93,25 +85,32 @@
     rsp_end(s);
 }
 
-/* Tell the other node that the request was refused, or failed. */
-static void
-prs_refuse(prs_request *q, const att_failure *failure)
+/* Write that a request on a route was refused, or failed. */
+void
+prs_fail(rsp *s, uint32_t route, const att_failure *failure)
 {
+    nod *n = s->n;
     hbf fields = {0};
     bool not_run = failure->outcome == OUTCOME_NOT_RUN;
     ctr_reason(failure->reason);
-    lcl_log_refusal(q->n->local, &q->r, failure);
-    prs_write_reply(q, &fields, failure->outcome, failure->reason,
+    prs_write_reply(n, route, &fields, failure->outcome, failure->reason,
                     failure->reached);
     if (not_run) {
         hbf_addf(&fields, "Retry-After: %.3f\r\n",
-                 (double)lcl_retry_after_us(q->n->local) / CLK_US_PER_S);
+                 (double)lcl_retry_after_us(n->local) / CLK_US_PER_S);
     }
-    rsp_head(q->s,
-             not_run ? HTTP_STATUS_SERVICE_UNAVAILABLE
-                     : HTTP_STATUS_BAD_GATEWAY,
-             &fields, HCN_BODY_LENGTH, 0);
+    rsp_head(
+        s, not_run ? HTTP_STATUS_SERVICE_UNAVAILABLE : HTTP_STATUS_BAD_GATEWAY,
+        &fields, HCN_BODY_LENGTH, 0);
     hbf_clear(&fields);
+}
+
+/* Tell the other node that the request was refused, or failed. */
+void
+prs_refuse(prs_request *q, const att_failure *failure)
+{
+    lcl_log_refusal(q->n->local, &q->r, failure);
+    prs_fail(q->s, q->r.route, failure);
     prs_finish(q);
 }
 
@@ -122,6 +121,13 @@
     return htm_is(name, HOP_FIELD);
 }
 
+/* The nonce at the end of a question's path. */
+static uint64_t
+prs_nonce(const char *path, const char *prefix)
+{
+    return strtoull(path + strlen(prefix), NULL, PRS_HEX);
+}
+
 /* Answer a question of another node. */
 static void
 prs_question(rsp *s, const htm *head)
@@ -129,8 +135,11 @@
     char path[PRS_PATH_SIZE];
     char *text = NULL;
     int status = HTTP_STATUS_OK;
-    size_t prefix = strlen(FWD_CANCEL_PATH);
     htm_copy(path, sizeof(path), htm_target(head));
+    if (g_str_has_prefix(path, FWD_CLAIM_PATH)) {
+        prs_claim(s, prs_nonce(path, FWD_CLAIM_PATH));
+        return;
+    }
     if (strcmp(path, SYC_STATE_PATH) == 0) {
         text = syc_state_text(s->n);
     }
@@ -139,8 +148,8 @@
         text = json_dumps(record, JSON_COMPACT);
         json_decref(record);
     }
-    else if (strncmp(path, FWD_CANCEL_PATH, prefix) == 0) {
-        uint64_t nonce = strtoull(path + prefix, NULL, PRS_HEX);
+    else if (g_str_has_prefix(path, FWD_CANCEL_PATH)) {
+        uint64_t nonce = prs_nonce(path, FWD_CANCEL_PATH);
         text = malloc(PRS_PATH_SIZE);
         if (text != NULL) {
             snprintf(text, PRS_PATH_SIZE,
@@ -172,6 +181,7 @@
     q->ask = *ask;
     s->request = q;
     n->requests++;
+    g_hash_table_insert(n->claims, &q->ask.nonce, q);
     htm_copy(q->r.id, sizeof(q->r.id), htm_get(head, n->fields->request_id));
     att_request_take(&q->r, head, prs_skip_field, NULL);
     q->r.arrived_us = n->l->now_us;
@@ -269,10 +279,9 @@
 prs_on_end(hcn *c, enum hcn_end end, void *payload)
 {
     (void)c;
-    (void)end;
     rsp *s = payload;
     prs_request *q = s->request;
-    if (q != NULL) {
+    if (q != NULL && !(end == HCN_RESET && prs_keep(q))) {
         ctr_reason(REASON_CANCELLED);
         if (q->call != NULL) {
             lcl_cancel(q->call);
@@ -292,7 +301,16 @@
     hbf fields = {0};
     q->answered = true;
     htm_write_fields(&fields, head, prs_skip_field, NULL);
-    prs_write_reply(q, &fields, OUTCOME_DONE, REASON_NONE, true);
+    prs_write_reply(q->n, q->r.route, &fields, OUTCOME_DONE, REASON_NONE,
+                    true);
+    if (q->s == NULL) {
+        q->kept.begun = true;
+        q->kept.status = head->status;
+        q->kept.fields = fields;
+        q->kept.framing = rsp_framing_of(head);
+        q->kept.length = head->content_length;
+        return;
+    }
     rsp_head(q->s, head->status, &fields, rsp_framing_of(head),
              head->content_length);
     hbf_clear(&fields);
@@ -302,6 +320,10 @@
 prs_on_answer_body(const char *bytes, size_t length, void *payload)
 {
     prs_request *q = payload;
+    if (q->s == NULL) {
+        prs_keep_body(q, bytes, length);
+        return;
+    }
     rsp_body(q->s, bytes, length);
     if (hcn_queued(q->s->c) > HCN_OUT_HIGH) {
         lcl_pause(q->call, true);
@@ -311,7 +333,14 @@
 static void
 prs_on_done(void *payload)
 {
-    prs_finish(payload);
+    prs_request *q = payload;
+    q->call = NULL;
+    if (q->s == NULL) {
+        q->kept.done = true;
+    }
+    else {
+        prs_finish(q);
+    }
 }
 
 static void
@@ -319,7 +348,11 @@
 {
     prs_request *q = payload;
     q->call = NULL;
-    if (q->answered) {
+    if (q->s == NULL) {
+        q->failed = true;
+        q->failure = *failure;
+    }
+    else if (q->answered) {
         hcn_break(q->s->c); /* prs_on_end() releases the request */
     }
     else {
@@ -331,7 +364,9 @@
 prs_wants_body(void *payload)
 {
     prs_request *q = payload;
-    hcn_pause(q->s->c, false);
+    if (q->s != NULL) {
+        hcn_pause(q->s->c, false);
+    }
 }
 
 static const att_sink prs_sink = {prs_on_answer_head, prs_on_answer_body,
--- a/src/flow/prs.h
+++ b/src/flow/prs.h
@@ -1,7 +1,7 @@
 /*
  * prs: requests that other nodes send for the target beside this one, and
- * their questions: for the state of this node, and for the record of an
- * attempt whose connection broke.
+ * their questions: for the state of this node, and for the answer to, or the
+ * record of, an attempt whose connection broke.
  */
 #ifndef LAV_PRS_H
 #define LAV_PRS_H
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -5,11 +5,10 @@
 
 static const char *const services[] = {"near", "far", "far"};
 
-/* Start it; ends when the first node knows the others. */
-void
-mesh_start(void)
+static void
+mesh_start_with(const pfr_options *opts)
 {
-    pfr_start(3, services);
+    pfr_start_with(3, services, opts);
     pfr_desire(1, ROUTES);
     for (int i = 0; i < 3; i++) {
         cr_assert(pfr_await_ready(i));
@@ -34,3 +33,18 @@
         cr_assert(reached, "node %d", i);
     }
 }
+
+/* Start it; ends when the first node knows the others. */
+void
+mesh_start(void)
+{
+    pfr_options usual = {0};
+    mesh_start_with(&usual);
+}
+
+void
+mesh_start_proxied(void)
+{
+    pfr_options proxied = {.proxied = true};
+    mesh_start_with(&proxied);
+}
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -22,5 +22,6 @@
                                           "near") "]"
 
 void mesh_start(void);
+void mesh_start_proxied(void); /* proxies before peers and the store */
 
 #endif
--- /dev/null
+++ b/tests/integration/mesh_hop_test.c
@@ -0,0 +1,70 @@
+/* Connections between nodes that break while a request is under way. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "mesh.h"
+
+TestSuite(mesh_hops, .init = mesh_start_proxied, .fini = pfr_stop,
+          .timeout = 60);
+
+typedef struct hop_case {
+    const char *method;
+    const char *path;
+    int resets; /* while it runs */
+    int status; /* of the answer */
+    int runs;   /* of it, at most */
+} hop_case;
+
+/* /slow takes 300 ms.  One reset is bridged; after a second one nobody can
+ * tell, and what may be repeated is. */
+static const hop_case hop_cases[] = {
+    {"POST", "/n/slow", 0, 200, 1}, {"POST", "/n/slow", 1, 200, 1},
+    {"GET", "/i/slow", 1, 200, 1},  {"POST", "/n/slow", 2, 502, 1},
+    {"GET", "/i/slow", 2, 200, 2},
+};
+
+Test(mesh_hops, answers_are_claimed)
+{
+    for (size_t i = 0; i < COUNT(hop_cases); i++) {
+        const hop_case *c = &hop_cases[i];
+        char request[256];
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "hop-%zu", i);
+        int size = snprintf(request, sizeof(request),
+                            "%s %s HTTP/1.1\r\nHost: h.example\r\n"
+                            "Lavenderfield-Attempt-Id: %s\r\n"
+                            "Content-Length: 0\r\n\r\n",
+                            c->method, c->path, id);
+        int fd = pfr_connect(0);
+        pfr_send(fd, request, (size_t)size);
+        cr_assert(PFR_AWAIT(pfr_runs(id) == 1));
+        for (int j = 0; j < c->resets; j++) {
+            prx_reset(pfr_peers_proxy(1));
+            prx_reset(pfr_peers_proxy(2));
+            pfr_sleep_ms(60);
+        }
+        pfr_read_answer(&answer, fd);
+        cr_expect_eq(answer.status, c->status, "%s: %d", id, answer.status);
+        cr_expect_leq(pfr_runs(id), c->runs, "%s: %d", id, pfr_runs(id));
+        pfr_clear(&answer);
+        close(fd);
+    }
+    cr_expect(pfr_log_has(0, "\"outcome\":\"unknown\""));
+}
+
+/* The caller leaves after the reset: the run is ended all the same. */
+Test(mesh_hops, nobody_claims)
+{
+    const char *request = "GET /i/hang HTTP/1.1\r\nHost: h.example\r\n"
+                          "Lavenderfield-Attempt-Id: left\r\n\r\n";
+    int fd = pfr_connect(0);
+    pfr_send(fd, request, strlen(request));
+    cr_assert(PFR_AWAIT(pfr_runs("left") == 1));
+    prx_reset(pfr_peers_proxy(1));
+    prx_reset(pfr_peers_proxy(2));
+    close(fd);
+    cr_expect(PFR_AWAIT(pfr_cut("left")));
+}
--- a/tests/integration/prx.c
+++ b/tests/integration/prx.c
@@ -22,6 +22,7 @@
     atomic_int mode;
     atomic_bool stopped;
     atomic_int connections;
+    atomic_int resets;
     pthread_t thread;
 };
 
@@ -29,6 +30,7 @@
     prx *owner;
     int near;     /* who connected */
     int far;      /* whom the proxy stands for */
+    int resets;   /* of the proxy, when it was made */
     bool lost[2]; /* bytes that way, or replies: nothing more can pass */
 } prx_pair;
 
@@ -83,6 +85,14 @@
     return prx_send_all(to, buffer, length);
 }
 
+/* Let the close of a socket be a reset. */
+static void
+prx_linger(int socket)
+{
+    struct linger linger = {1, 0};
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 static void *
 prx_serve(void *payload)
 {
@@ -91,6 +101,11 @@
     bool open = true;
     while (open && !atomic_load(&p->stopped) &&
            atomic_load(&p->mode) != PRX_CUT) {
+        if (pair->resets != atomic_load(&p->resets)) {
+            prx_linger(pair->near);
+            prx_linger(pair->far);
+            break;
+        }
         struct pollfd fds[2] = {{pair->near, POLLIN, 0},
                                 {pair->far, POLLIN, 0}};
         if (poll(fds, 2, PRX_STEP_MS) <= 0) {
@@ -124,7 +139,7 @@
         free(pair);
         return;
     }
-    *pair = (prx_pair){p, near, far, {false, false}};
+    *pair = (prx_pair){p, near, far, atomic_load(&p->resets), {false, false}};
     atomic_fetch_add(&p->connections, 1);
     if (pthread_create(&thread, NULL, prx_serve, pair) == 0) {
         pthread_detach(thread);
@@ -172,6 +187,13 @@
     atomic_store(&p->mode, mode);
 }
 
+/* Reset the connections that are open now, both sides of each. */
+void
+prx_reset(prx *p)
+{
+    atomic_fetch_add(&p->resets, 1);
+}
+
 /* Close everything; takes NULL. */
 void
 prx_stop(prx *p)
--- a/tests/integration/prx.h
+++ b/tests/integration/prx.h
@@ -18,6 +18,7 @@
 
 prx *prx_start(int listen_port, int to_port);
 void prx_set(prx *p, enum prx_mode mode);
+void prx_reset(prx *p); /* the open connections; new ones pass */
 void prx_stop(prx *p);
 
 #endif
--- a/tests/soak/sok_fault.c
+++ b/tests/soak/sok_fault.c
@@ -120,6 +120,13 @@
     prx_set(pfr_peers_proxy(f->node), PRX_PASS);
 }
 
+static void
+sok_reset(sok *s, sok_fault *f)
+{
+    (void)s;
+    prx_reset(pfr_peers_proxy(f->node));
+}
+
 static void
 sok_cut_store(sok *s, sok_fault *f)
 {
@@ -210,6 +217,7 @@
     {"pause", false, 100, 3000, sok_pause, sok_resume, 0},
     {"target crashes", false, 200, 1500, sok_crash, sok_crash_end, 0},
     {"targets in trouble", false, 500, 2000, sok_targets, sok_targets_end, 0},
+    {"connections reset", false, 50, 100, sok_reset, sok_nothing, 0},
     {"peers cut", false, 100, 2000, sok_peers, sok_peers_end, PRX_CUT},
     {"peers silent", false, 100, 3000, sok_peers, sok_peers_end, PRX_HOLD},
     {"peers cut one way", false, 100, 3000, sok_peers, sok_peers_end,
