syc: a node that hears no version asks another one

Keep-alive probes don't show it where a proxy answers them. Ruled out: the store (other nodes had the change at once), the peers' word (versions ride on requests; there were none). Change: a node that hears no version for a second asks any other one. Test: mesh_hops/a_store_that_falls_silent, failed before (no change in 10 s).

--- a/include/lav/flt.h
+++ b/include/lav/flt.h
@@ -91,6 +91,7 @@
 int flt_count(const flt *f);
 const char *flt_service_name(const flt *f, uint32_t service);
 double flt_share(const flt *f, uint32_t service);
+int flt_other(flt *f, const char *self);
 int flt_pick(flt *f, const flt_choice *choice, int64_t now_us);
 void flt_sent(flt *f, int handle);
 void flt_done(flt *f, int handle);
--- a/src/core/flt.c
+++ b/src/core/flt.c
@@ -225,6 +225,22 @@
     return MAX(busy, m->outstanding) / limit;
 }
 
+/* Any node but `self` that can be reached, each as likely; FLT_NONE where
+ * there is none. */
+int
+flt_other(flt *f, const char *self)
+{
+    int start = f->count > 0 ? g_rand_int_range(f->random, 0, f->count) : 0;
+    for (int i = 0; i < f->count; i++) {
+        int handle = (start + i) % f->count;
+        const flt_member *m = &f->members[handle];
+        if (m->known && !m->lost && strcmp(m->record.node, self) != 0) {
+            return handle;
+        }
+    }
+    return FLT_NONE;
+}
+
 static bool
 flt_tried(const flt_choice *choice, int handle)
 {
--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -168,6 +168,7 @@
         rch_lost(f->n->reach, f->member); /* another instance is there */
     }
     nod_heard(f->n, f->r->route, f->reply.origin, &f->reply.strain);
+    f->n->heard_us = f->n->l->now_us;
     if (f->reply.config_version > nod_version(f->n)) {
         syc_fetch(f->n, &f->to);
     }
--- a/src/flow/nod.h
+++ b/src/flow/nod.h
@@ -66,6 +66,7 @@
     struct lcl *local;   /* the target beside this node */
     struct rch *reach;   /* nodes that could not be reached */
     bool fetching;       /* a peer has been asked for its state */
+    int64_t heard_us;    /* when another node last told its version */
     int requests;        /* of callers and peers, under way */
     bool stopping;       /* told to stop: not ready, and still serves */
     bool closed;         /* takes nothing new any more */
--- a/src/flow/prs.c
+++ b/src/flow/prs.c
@@ -143,6 +143,9 @@
     if (strcmp(path, SYC_STATE_PATH) == 0) {
         text = syc_state_text(s->n);
     }
+    else if (strcmp(path, SYC_VERSION_PATH) == 0) {
+        text = syc_version_text(s->n);
+    }
     else if (strcmp(path, RCH_NODE_PATH) == 0) {
         json_t *record = rec_pack(&s->n->self);
         text = json_dumps(record, JSON_COMPACT);
@@ -216,6 +219,7 @@
         free(s);
         return HCN_CLOSED;
     }
+    n->heard_us = n->l->now_us;
     if (ask.config_version > nod_version(n)) {
         struct sockaddr_in from = *hcn_peer(c);
         from.sin_port = htons((uint16_t)ask.peer_port);
--- a/src/flow/syc.c
+++ b/src/flow/syc.c
@@ -4,12 +4,24 @@
 #include <stdlib.h>
 
 #include "hcl.h"
+#include "lav/clk.h"
 #include "lav/err.h"
 #include "lav/log.h"
 #include "rec.h"
 
 #define SYC_TIMEOUT_US 1000000 /* 1 s; then the next answer asks again */
 
+#define SYC_QUIET_US                                                          \
+    CLK_US_PER_S /* without a word: half of what a change may take at least */
+#define SYC_PERIOD_S 1.0  /* s between two questions */
+#define SYC_ASK_US 500000 /* 0.5 s for a version */
+
+struct syc {
+    nod *n;
+    ev_timer timer;
+    struct sockaddr_in asked; /* the node asked last */
+};
+
 static void
 syc_take_members(nod *n, const json_t *members)
 {
@@ -79,3 +91,82 @@
     json_decref(state);
     return text;
 }
+
+/* The version in force here, as an answer: a JSON text, to be freed. */
+char *
+syc_version_text(const nod *n)
+{
+    json_t *version =
+        json_pack("{s:I}", "version", (json_int_t)nod_version(n));
+    char *text = json_dumps(version, JSON_COMPACT);
+    json_decref(version);
+    return text;
+}
+
+static void
+syc_on_version(const hcl_answer *answer, void *payload)
+{
+    syc *s = payload;
+    if (answer->result != HCL_ANSWERED || answer->status != 200) {
+        return; /* another node is asked next */
+    }
+    json_t *root = json_loadb(answer->body, answer->length, 0, NULL);
+    json_int_t version = json_integer_value(json_object_get(root, "version"));
+    if (version > 0 && (uint64_t)version > nod_version(s->n)) {
+        syc_fetch(s->n, &s->asked);
+    }
+    json_decref(root);
+}
+
+static void
+syc_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    syc *s = watcher->data;
+    nod *n = s->n;
+    hlp_touch(n->l);
+    if (n->l->now_us - n->heard_us < SYC_QUIET_US) {
+        return;
+    }
+    const flt_record *other =
+        flt_get(n->fleet, flt_other(n->fleet, n->self.node));
+    if (other == NULL) {
+        return;
+    }
+    s->asked = (struct sockaddr_in){.sin_family = AF_INET,
+                                    .sin_addr.s_addr = other->ip,
+                                    .sin_port = other->port};
+    hcl_options opts = {"GET", SYC_VERSION_PATH, NULL, 0, SYC_ASK_US};
+    if (hcl_start(NULL, n->pool, n->l, &s->asked, &opts, syc_on_version, s) <
+        0) {
+        log_write(LOG_WARN, NULL, "%s can't be asked for its version",
+                  other->node);
+    }
+}
+
+/* Begin to listen for newer versions. */
+int
+syc_new(syc **out, nod *n)
+{
+    syc *s = calloc(1, sizeof(*s));
+    if (s == NULL) {
+        return ERR_NO_MEMORY;
+    }
+    s->n = n;
+    ev_timer_init(&s->timer, syc_on_timer, SYC_PERIOD_S, SYC_PERIOD_S);
+    s->timer.data = s;
+    ev_timer_start(n->l->loop, &s->timer);
+    *out = s;
+    return 0;
+}
+
+/* Stop; takes NULL. */
+void
+syc_free(syc *s)
+{
+    if (s != NULL) {
+        ev_timer_stop(s->n->l->loop, &s->timer);
+        free(s);
+    }
+}
--- a/tests/integration/mesh_hop_test.c
+++ b/tests/integration/mesh_hop_test.c
@@ -68,3 +68,13 @@
     close(fd);
     cr_expect(PFR_AWAIT(pfr_cut("left")));
 }
+
+/* The connection to the store falls silent and the node has no traffic: it
+ * hears of the change from another node. */
+Test(mesh_hops, a_store_that_falls_silent)
+{
+    prx_set(pfr_store_proxy(0), PRX_HOLD);
+    pfr_desire(2, ROUTES);
+    cr_expect(PFR_AWAIT(pfr_log_has(0, "\"version\":2,\"was\":1,\"routes\":4,"
+                                       "\"from\":\"a peer\"")));
+}
