--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -144,6 +144,41 @@
 
 static const stale_case stale_cases[] = {{"gone-1", -1}, {"gone-2", 2}};
 
+static void
+put_other_node(const char *node)
+{
+    char spec[512];
+    snprintf(spec, sizeof(spec),
+             "{\"node\":\"%s\",\"service\":\"other\",\"zone\":\"z0\","
+             "\"peer\":\"127.0.0.1:1\",\"target\":\"i-%s\","
+             "\"started_ms\":5,\"incarnation\":7,\"sequence\":1,"
+             "\"state\":\"ready\",\"slots\":40}",
+             node, node);
+    pfr_store_put("lavnodes", node, spec);
+}
+
+/* Two hundred nodes start one after the other: each of ours asks once a
+ * second, not once for each of them. */
+Test(mesh_faults, news_of_many_nodes_are_fetched_together)
+{
+    char node[32];
+    for (int i = 0; i < 200; i++) {
+        snprintf(node, sizeof(node), "other-%d", i);
+        put_other_node(node);
+    }
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"other-199\"")));
+    pfr_sleep_ms(1500);
+    int before = pfr_store_reads();
+    for (int i = 200; i < 250; i++) {
+        snprintf(node, sizeof(node), "other-%d", i);
+        put_other_node(node);
+        pfr_sleep_ms(20);
+    }
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"other-249\"")));
+    int reads = pfr_store_reads() - before;
+    cr_expect_leq(reads, 3 * 5, "%d", reads); /* of three nodes */
+}
+
 /* Entries that their nodes couldn't take away, as the store was out when
  * they went: requests go elsewhere, and the entries go in the end. */
 Test(mesh_faults, entries_of_nodes_that_are_gone)
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -48,6 +48,7 @@
 void pfr_stop(void);
 void pfr_store_mode(enum pfr_store_mode mode);
 int pfr_store_writes(void);
+int pfr_store_reads(void);
 void pfr_store_put(const char *kind, const char *name, const char *spec);
 bool pfr_store_has(const char *kind, const char *name);
 void pfr_desire(int version, const char *routes);
--- a/tests/integration/pfr_store.c
+++ b/tests/integration/pfr_store.c
@@ -29,6 +29,7 @@
 static long pfr_revision = 1;
 static long pfr_forgotten; /* changes up to it are no longer known */
 static int pfr_writes;
+static int pfr_reads;
 static enum pfr_store_mode pfr_mode;
 
 void
@@ -48,6 +49,15 @@
     return writes;
 }
 
+int
+pfr_store_reads(void)
+{
+    pthread_mutex_lock(&pfr_lock);
+    int reads = pfr_reads;
+    pthread_mutex_unlock(&pfr_lock);
+    return reads;
+}
+
 void
 pfr_store_reset(void)
 {
@@ -295,6 +305,7 @@
     while (pfr_read_request(&request, fd)) {
         pthread_mutex_lock(&pfr_lock);
         enum pfr_store_mode mode = pfr_mode;
+        pfr_reads += strcmp(request.method, "GET") == 0;
         pthread_mutex_unlock(&pfr_lock);
         if (mode == PFR_STORE_SILENT) {
             continue;
