--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -130,17 +130,14 @@
     f->c = NULL;
     hcn_close(c);
     (void)end;
-    if (f->claimed) {
-        fwd_fail(f, OUTCOME_UNKNOWN, REASON_REPLY_LOST, true);
-    }
-    else if (connected && claimable && fwd_claim(f) == 0) {
+    if (connected && claimable && fwd_claim(f) == 0) {
         return;
     }
-    else if (!connected) {
+    if (!connected && !f->claimed) {
         rch_lost(f->n->reach, f->member);
         fwd_fail(f, OUTCOME_NOT_RUN, REASON_PEER_UNREACHABLE, false);
     }
-    else if (f->answered || f->r->idempotent) {
+    else if (f->claimed || f->answered || f->r->idempotent) {
         fwd_fail(f, OUTCOME_UNKNOWN, REASON_REPLY_LOST, true);
     }
     else {
