prc: tests that run at a time take ports from blocks of their own

Cause: processes that took ports at the same time began 61 apart, where one deployment needs more, and a port was only tried, not held, so two of them could choose the same ones before either listened. Change: a process holds a block of 250 ports by a bound socket.

--- a/lab/prc.c
+++ b/lab/prc.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -15,6 +16,7 @@
 #define PRC_WAIT_STEP_US 5000
 #define PRC_PORT_FIRST 21000
 #define PRC_PORT_LAST 31000
+#define PRC_BLOCK_PORTS 250 /* more than most deployments of the tests need */
 #define PRC_EXEC_FAILED 127
 
 /* Start a program; what it prints is appended to `log_path`.  It inherits
@@ -98,21 +100,44 @@
     return free_now;
 }
 
-/* A loopback port that nobody listens at, below those that the system
- * gives to outgoing connections. */
+/* Reserve a block of ports for this process: a socket that stays bound to
+ * the block's first port keeps other processes that take ports off it. */
+static int
+prc_reserve_block(void)
+{
+    static int tried;
+    int blocks = (PRC_PORT_LAST - PRC_PORT_FIRST) / PRC_BLOCK_PORTS;
+    for (; tried < blocks; tried++) {
+        int first =
+            PRC_PORT_FIRST + (getpid() + tried) % blocks * PRC_BLOCK_PORTS;
+        struct sockaddr_in address = {.sin_family = AF_INET,
+                                      .sin_port = htons((uint16_t)first)};
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        int guard = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        if (bind(guard, (struct sockaddr *)&address, sizeof(address)) == 0) {
+            tried++;
+            return first;
+        }
+        close(guard);
+    }
+    abort(); /* more tests at a time than there are blocks */
+}
+
+/* A loopback port that nobody listens at and no other process takes, below
+ * those that the system gives to outgoing connections. */
 int
 prc_free_port(void)
 {
+    static pid_t owner;
     static int next;
-    if (next == 0) {
-        next =
-            PRC_PORT_FIRST + getpid() * 61 % (PRC_PORT_LAST - PRC_PORT_FIRST);
-    }
+    static int end;
     for (;;) {
-        int port = next++;
-        if (next >= PRC_PORT_LAST) {
-            next = PRC_PORT_FIRST;
+        if (owner != getpid() || next == end) {
+            owner = getpid();
+            next = prc_reserve_block();
+            end = next + PRC_BLOCK_PORTS;
         }
+        int port = next++;
         if (prc_port_is_free(port)) {
             return port;
         }
