--- a/src/core/flt.c
+++ b/src/core/flt.c
@@ -103,7 +103,7 @@
     return handle;
 }
 
-/* It answers again, or is another one. */
+/* Forget earlier failures: it answers again, or is another instance. */
 static void
 flt_clear(flt_member *m)
 {
--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -122,8 +122,8 @@
 }
 
 /* It leaves: new work is taken for a part of the time that the platform
- * allows.  One that was known by hearsay only may have said so before to an
- * earlier start of this node, so nothing more is taken. */
+ * allows.  One that has not registered with this start of the node may have
+ * said so to an earlier start, so nothing more is taken. */
 static void
 lcl_close(lcl *d)
 {
--- a/src/flow/rch.c
+++ b/src/flow/rch.c
@@ -71,7 +71,7 @@
     json_t *value = json_loadb(answer->body, answer->length, 0, NULL);
     int result = rec_unpack(out, value, &e);
     if (result < 0) {
-        log_write(LOG_WARN, NULL, "a node's word of itself not taken: %s",
+        log_write(LOG_WARN, NULL, "a node's own record not taken: %s",
                   e.message);
     }
     json_decref(value);
