--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -14,6 +14,7 @@
 #include "lav/ctr.h"
 #include "lav/err.h"
 #include "rch.h"
+#include "rec.h"
 #include "syc.h"
 
 #define FWD_CONNECT_US 400000 /* 0.4 s; a first SYN is resent after 1 s */
@@ -256,9 +257,7 @@
           void *payload)
 {
     const flt_record *record = flt_get(n->fleet, member);
-    struct sockaddr_in to = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = record->ip,
-                             .sin_port = record->port};
+    struct sockaddr_in to = rec_address(record);
     hcn *c = hpl_get(n->pool, &to, FWD_IDLE_US);
     if (c == NULL) {
         if (hcn_connect(&c, n->l, &to, FWD_CONNECT_US, &fwd_handlers, NULL) <
--- a/src/flow/rch.c
+++ b/src/flow/rch.c
@@ -104,9 +104,7 @@
 rch_ask(rch *r, int member)
 {
     const flt_record *record = flt_get(r->n->fleet, member);
-    struct sockaddr_in to = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = record->ip,
-                             .sin_port = record->port};
+    struct sockaddr_in to = rec_address(record);
     hcl_options opts = {"GET", RCH_NODE_PATH, NULL, 0, RCH_ASK_US};
     rch_question *q = calloc(1, sizeof(*q));
     if (q == NULL) {
--- a/src/flow/rec.c
+++ b/src/flow/rec.c
@@ -8,14 +8,21 @@
 
 #define REC_ADDRESS_SIZE 32 /* bytes, with the closing NUL */
 
+/* Address at which other nodes reach it. */
+struct sockaddr_in
+rec_address(const flt_record *record)
+{
+    return (struct sockaddr_in){.sin_family = AF_INET,
+                                .sin_addr.s_addr = record->ip,
+                                .sin_port = record->port};
+}
+
 /* The record as a new JSON object. */
 json_t *
 rec_pack(const flt_record *record)
 {
     char address[REC_ADDRESS_SIZE];
-    struct sockaddr_in at = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = record->ip,
-                             .sin_port = record->port};
+    struct sockaddr_in at = rec_address(record);
     hls_address_text(address, sizeof(address), &at);
     return json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:i}", "node",
                      record->node, "service", record->service, "zone",
--- a/src/flow/rec.h
+++ b/src/flow/rec.h
@@ -6,10 +6,12 @@
 #define LAV_REC_H
 
 #include <jansson.h>
+#include <netinet/in.h>
 
 #include "lav/err.h"
 #include "lav/flt.h"
 
+struct sockaddr_in rec_address(const flt_record *record);
 json_t *rec_pack(const flt_record *record);
 int rec_unpack(flt_record *out, json_t *value, err *e);
 
--- a/src/flow/syc.c
+++ b/src/flow/syc.c
@@ -134,9 +134,7 @@
     if (other == NULL) {
         return;
     }
-    s->asked = (struct sockaddr_in){.sin_family = AF_INET,
-                                    .sin_addr.s_addr = other->ip,
-                                    .sin_port = other->port};
+    s->asked = rec_address(other);
     hcl_options opts = {"GET", SYC_VERSION_PATH, NULL, 0, SYC_ASK_US};
     if (hcl_start(NULL, n->pool, n->l, &s->asked, &opts, syc_on_version, s) <
         0) {
