--- a/include/lav/dor.h
+++ b/include/lav/dor.h
@@ -19,9 +19,7 @@
 #endif
 
 #define DOR_QUEUE_LENGTH 512 /* calls that wait at most */
-#define DOR_PATIENCE_PART                                                     \
-    2 /* of the objective: then there is still time
-                              * to serve it within */
+#define DOR_PATIENCE_PART 2  /* of the objective: time is left to serve it */
 
 typedef struct dor_request {
     int handle; /* of the caller of this module, not negative */
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -90,6 +90,23 @@
     }
 }
 
+/* Call until the target beside node 1 answers; whether it did. */
+static bool
+served_by_first(const char *prefix)
+{
+    bool served = false;
+    for (int i = 0; i < 500 && !served; i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        pfr_call(&answer, 0, "POST", "/n/shed-at-2", id, "", 0);
+        served = pfr_run_node(id) == 1 && answer.status == 200;
+        pfr_clear(&answer);
+        pfr_sleep_ms(10);
+    }
+    return served;
+}
+
 Test(mesh_faults, a_target_that_is_down_and_comes_back)
 {
     pfr_target_refuse(1, true);
@@ -110,17 +127,7 @@
     pfr_target_refuse(1, false);
     pfr_new_lifetime(1, "i-1-again");
     cr_expect_eq(pfr_beat(1, "ready", 0), 200);
-    bool back = false;
-    for (int i = 0; i < 500 && !back; i++) {
-        char id[32];
-        pfr_answer answer;
-        snprintf(id, sizeof(id), "back-%d", i);
-        pfr_call(&answer, 0, "POST", "/n/shed-at-2", id, "", 0);
-        back = pfr_run_node(id) == 1 && answer.status == 200;
-        pfr_clear(&answer);
-        pfr_sleep_ms(10);
-    }
-    cr_expect(back);
+    cr_expect(served_by_first("back"));
 }
 
 /* No instance takes it: the refusal names why, not that none is left. */
@@ -261,17 +268,7 @@
     cr_expect_neq(pfr_await_node_end(1), -1);
     pfr_start_node(1);
     cr_assert(PFR_AWAIT(pfr_beat(1, "ready", 0) == 200));
-    bool back = false;
-    for (int i = 0; i < 500 && !back; i++) {
-        char id[32];
-        pfr_answer answer;
-        snprintf(id, sizeof(id), "again-%d", i);
-        pfr_call(&answer, 0, "POST", "/n/shed-at-2", id, "", 0);
-        back = pfr_run_node(id) == 1 && answer.status == 200;
-        pfr_clear(&answer);
-        pfr_sleep_ms(10);
-    }
-    cr_expect(back);
+    cr_expect(served_by_first("again"));
     cr_expect(pfr_await_ready(1)); /* by the desired state of a peer */
     pfr_store_mode(PFR_STORE_UP);
 }
