--- a/tests/integration/mesh_hop_test.c
+++ b/tests/integration/mesh_hop_test.c
@@ -78,3 +78,17 @@
     cr_expect(PFR_AWAIT(pfr_log_has(0, "\"version\":2,\"was\":1,\"routes\":4,"
                                        "\"from\":\"a peer\"")));
 }
+
+/* The store hangs and is back: the calls that wait at it were lost with it.
+ * A change made then is seen without waiting for their end, 22 s later. */
+Test(mesh_hops, a_store_that_hangs_and_is_back)
+{
+    pfr_store_mode(PFR_STORE_SILENT);
+    pfr_sleep_ms(4000);
+    pfr_store_mode(PFR_STORE_UP);
+    pfr_desire(2, ROUTES);
+    for (int i = 0; i < 3; i++) {
+        cr_expect(PFR_AWAIT(pfr_log_has(i, "\"version\":2,\"was\":1")),
+                  "node %d", i);
+    }
+}
