--- a/src/core/flt.c
+++ b/src/core/flt.c
@@ -25,7 +25,9 @@
 struct flt {
     flt_member *members;
     int count;
-    GHashTable *by_node; /* node -> handle + 1 */
+    int known_count;
+    GHashTable *by_node;    /* node -> handle + 1 */
+    GHashTable *by_service; /* hash of a service -> GArray of handles */
     GRand *random;
 };
 
@@ -46,6 +48,8 @@
         return ERR_NO_MEMORY;
     }
     f->by_node = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    f->by_service = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                          (GDestroyNotify)g_array_unref);
     f->random = g_rand_new_with_seed((guint32)(seed ^ (seed >> 32)));
     *out = f;
     return 0;
@@ -57,6 +61,7 @@
 {
     if (f != NULL) {
         g_hash_table_destroy(f->by_node);
+        g_hash_table_destroy(f->by_service);
         g_rand_free(f->random);
         free(f->members);
         free(f);
@@ -70,6 +75,38 @@
     return GPOINTER_TO_INT(g_hash_table_lookup(f->by_node, node)) - 1;
 }
 
+/* Handles of the members beside a service, in no order; NULL: none was ever
+ * known. */
+static GArray *
+flt_group(const flt *f, uint32_t service)
+{
+    return g_hash_table_lookup(f->by_service, GUINT_TO_POINTER(service));
+}
+
+static void
+flt_group_add(flt *f, int handle)
+{
+    uint32_t service = f->members[handle].service;
+    GArray *group = flt_group(f, service);
+    if (group == NULL) {
+        group = g_array_new(FALSE, FALSE, sizeof(int));
+        g_hash_table_insert(f->by_service, GUINT_TO_POINTER(service), group);
+    }
+    g_array_append_val(group, handle);
+}
+
+static void
+flt_group_remove(flt *f, int handle)
+{
+    GArray *group = flt_group(f, f->members[handle].service);
+    for (guint i = 0; group != NULL && i < group->len; i++) {
+        if (g_array_index(group, int, i) == handle) {
+            g_array_remove_index_fast(group, i);
+            return;
+        }
+    }
+}
+
 /* Whether `a` was said after `b`. */
 static bool
 flt_newer(const flt_record *a, const flt_record *b)
@@ -98,6 +135,7 @@
         f->count++;
     }
     f->members[handle] = (flt_member){.known = true};
+    f->known_count++;
     g_hash_table_insert(f->by_node, g_strdup(node),
                         GINT_TO_POINTER(handle + 1));
     return handle;
@@ -130,8 +168,10 @@
     bool same = strcmp(m->record.instance, record->instance) == 0 &&
                 m->record.born_ms == record->born_ms &&
                 m->record.incarnation == record->incarnation;
+    flt_group_remove(f, handle);
     m->record = *record;
     m->service = (uint32_t)id_hash(record->service);
+    flt_group_add(f, handle);
     m->report.state = record->state;
     if (!same) {
         m->report =
@@ -151,7 +191,9 @@
     int handle = flt_find(f, node);
     if (handle != FLT_NONE &&
         f->members[handle].record.incarnation <= incarnation) {
+        flt_group_remove(f, handle);
         f->members[handle].known = false;
+        f->known_count--;
         g_hash_table_remove(f->by_node, node);
     }
 }
@@ -187,27 +229,20 @@
 double
 flt_share(const flt *f, uint32_t service)
 {
-    int all = 0;
-    int beside = 0;
-    for (int i = 0; i < f->count; i++) {
-        if (f->members[i].known) {
-            all++;
-            beside += f->members[i].service == service;
-        }
-    }
-    return all > 0 ? (double)beside / all : 0;
+    const GArray *group = flt_group(f, service);
+    return group == NULL || f->known_count == 0
+               ? 0
+               : (double)group->len / f->known_count;
 }
 
 /* Name of the service with that hash; empty where no node stands beside it. */
 const char *
 flt_service_name(const flt *f, uint32_t service)
 {
-    for (int i = 0; i < f->count; i++) {
-        if (f->members[i].known && f->members[i].service == service) {
-            return f->members[i].record.service;
-        }
-    }
-    return "";
+    const GArray *group = flt_group(f, service);
+    return group == NULL || group->len == 0
+               ? ""
+               : f->members[g_array_index(group, int, 0)].record.service;
 }
 
 /* Calls there for each that may run at once, as best as can be told. */
@@ -254,11 +289,11 @@
 
 /* The shortest mean time of a call at the instances of a service. */
 static int
-flt_fastest_us(const flt *f, const char *service)
+flt_fastest_us(const flt *f, const GArray *group, const char *service)
 {
     int fastest_us = 0;
-    for (int i = 0; i < f->count; i++) {
-        const flt_member *m = &f->members[i];
+    for (guint i = 0; i < group->len; i++) {
+        const flt_member *m = &f->members[g_array_index(group, int, i)];
         if (flt_usable(m, service) && m->report.call_us > 0 &&
             (fastest_us == 0 || m->report.call_us < fastest_us)) {
             fastest_us = m->report.call_us;
@@ -299,9 +334,14 @@
     int resting = FLT_NONE;
     bool all_rest = true;
     double least = 0;
-    int fastest_us = flt_fastest_us(f, choice->service);
-    for (int i = 0; i < f->count; i++) {
-        flt_member *m = &f->members[i];
+    const GArray *group = flt_group(f, (uint32_t)id_hash(choice->service));
+    if (group == NULL) {
+        return FLT_NONE;
+    }
+    int fastest_us = flt_fastest_us(f, group, choice->service);
+    for (guint at = 0; at < group->len; at++) {
+        int i = g_array_index(group, int, at);
+        const flt_member *m = &f->members[i];
         bool rests = m->lost || now_us < m->rest_until_us;
         if (!flt_usable(m, choice->service)) {
             continue;
--- a/src/node/atr.c
+++ b/src/node/atr.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "atr_private.h"
-#include "ctl.h"
 #include "lav/ans.h"
 #include "lav/clk.h"
 #include "lav/ctr.h"
@@ -46,8 +45,8 @@
         free(event->result.body.bytes);
         return;
     case ATR_EVENT_CANCEL:
-        ctl_cancelled(a->node->control, event->slot, event->nonce,
-                      atr_call_cancel(a, event->nonce, now_us));
+        a->cancelled(event->slot, event->nonce,
+                     atr_call_cancel(a, event->nonce, now_us), a->payload);
         return;
     case ATR_EVENT_ANNOUNCE:
         atr_target_announce(a, &event->announcement, now_us);
@@ -122,15 +121,18 @@
     return 0;
 }
 
-/* Make the admitter and start its thread. */
+/* Make the admitter and start its thread; `cancelled` is told how each cancel
+ * ended. */
 int
-atr_new(atr **out, node *n, err *e)
+atr_new(atr **out, node *n, atr_cancelled_cb cancelled, void *payload, err *e)
 {
     atr *a = calloc(1, sizeof(*a));
     if (a == NULL) {
         return ERR_SET(e, ERR_NO_MEMORY, "admitter");
     }
     a->node = n;
+    a->cancelled = cancelled;
+    a->payload = payload;
     pthread_mutex_init(&a->lock, NULL);
     int result = atr_make_parts(a);
     if (result == 0) {
@@ -215,7 +217,7 @@
     srv_answer(n->receiver, slot, &reply);
 }
 
-/* A cancel from another node, answered through ctl_cancelled(); ERR_FULL
+/* A cancel from another node, answered through the callback; ERR_FULL
  * where the ring is full. */
 int
 atr_cancel(atr *a, uint64_t nonce, int slot)
--- a/src/node/atr.h
+++ b/src/node/atr.h
@@ -9,12 +9,18 @@
 
 #include "inb_parse.h"
 #include "lav/amo.h"
+#include "lav/dsp.h"
 #include "node.h"
 
 typedef struct atr atr;
 struct dlv_result;
 
-int atr_new(atr **out, node *n, err *e);
+/* Answer to a cancel that came in at `slot`. */
+typedef void (*atr_cancelled_cb)(int slot, uint64_t nonce,
+                                 enum dsp_cancel result, void *payload);
+
+int atr_new(atr **out, node *n, atr_cancelled_cb cancelled, void *payload,
+            err *e);
 void atr_stop(atr *a);
 void atr_free(atr *a);
 void atr_arrive(int slot, msg *request, void *payload);
--- a/src/node/atr_private.h
+++ b/src/node/atr_private.h
@@ -68,6 +68,8 @@
 
 struct atr {
     node *node;
+    atr_cancelled_cb cancelled;
+    void *payload;
     pthread_mutex_t lock; /* held by whoever works on the calls */
     ring *events;
     duty thread;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -52,6 +52,22 @@
     return result;
 }
 
+/* The router has answered a call. */
+static void
+node_answered(int handle, void *payload)
+{
+    node *n = payload;
+    inb_answer(n->inbound, handle);
+}
+
+/* The admitter has dealt with another node's cancel. */
+static void
+node_cancelled(int slot, uint64_t nonce, enum dsp_cancel result, void *payload)
+{
+    node *n = payload;
+    ctl_cancelled(n->control, slot, nonce, result);
+}
+
 static int
 node_make_calls(node *n, err *e)
 {
@@ -61,10 +77,10 @@
     }
     result = dlv_new(&n->deliverer, atr_delivered, n, e);
     if (result == 0) {
-        result = atr_new(&n->admitter, n, e);
+        result = atr_new(&n->admitter, n, node_cancelled, n, e);
     }
     if (result == 0) {
-        result = rtr_new(&n->router, n, n->calls, e);
+        result = rtr_new(&n->router, n, n->calls, node_answered, n, e);
     }
     return result;
 }
--- a/src/node/rtr.c
+++ b/src/node/rtr.c
@@ -243,9 +243,11 @@
     return result;
 }
 
-/* Make the router and start its thread. */
+/* Make the router and start its thread; `answered` is told of each call that
+ * is over. */
 int
-rtr_new(rtr **out, node *n, cal *calls, err *e)
+rtr_new(rtr **out, node *n, cal *calls, rtr_answered_cb answered,
+        void *payload, err *e)
 {
     rtr *r = calloc(1, sizeof(*r));
     if (r == NULL) {
@@ -253,6 +255,8 @@
     }
     r->node = n;
     r->calls = calls;
+    r->answered = answered;
+    r->payload = payload;
     pthread_mutex_init(&r->lock, NULL);
     r->bucket.tenths = BUD_BUCKET_START;
     int result = rtr_make_parts(r, e);
--- a/src/node/rtr.h
+++ b/src/node/rtr.h
@@ -11,7 +11,11 @@
 
 typedef struct rtr rtr;
 
-int rtr_new(rtr **out, node *n, cal *calls, err *e);
+/* The answer to a call lies in its entry: let it be sent. */
+typedef void (*rtr_answered_cb)(int handle, void *payload);
+
+int rtr_new(rtr **out, node *n, cal *calls, rtr_answered_cb answered,
+            void *payload, err *e);
 void rtr_stop(rtr *r);
 void rtr_free(rtr *r);
 int rtr_submit(rtr *r, int handle);
--- a/src/node/rtr_finish.c
+++ b/src/node/rtr_finish.c
@@ -1,7 +1,6 @@
 /* Answers: what is said to the caller, and the accounts that it closes. */
 #include <string.h>
 
-#include "inb.h"
 #include "lav/clk.h"
 #include "lav/ctr.h"
 #include "rtr_private.h"
@@ -79,5 +78,5 @@
              (long long)(now_us - state->started_us), state->truth.count);
     rtr_close_accounts(r, call, state, answer->outcome, now_us);
     rtr_deactivate(r, handle);
-    inb_answer(r->node->inbound, handle);
+    r->answered(handle, r->payload);
 }
--- a/src/node/rtr_private.h
+++ b/src/node/rtr_private.h
@@ -83,6 +83,8 @@
 struct rtr {
     node *node;
     cal *calls;
+    rtr_answered_cb answered;
+    void *payload;
     pthread_mutex_t lock; /* held by whoever works on the calls */
     ring *events;
     duty thread;
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -186,6 +186,23 @@
     cr_expect_leq(reads, 3 * 5, "%d", reads); /* of three nodes */
 }
 
+/* The same in a small fleet: 2.5 s of changes, the first of them told at once,
+ * the others within a second each. */
+Test(mesh_faults, news_of_a_start_are_fetched_together)
+{
+    char node[32];
+    pfr_sleep_ms(1500);
+    int before = pfr_store_reads();
+    for (int i = 0; i < 25; i++) {
+        snprintf(node, sizeof(node), "other-%d", i);
+        put_other_node(node);
+        pfr_sleep_ms(100);
+    }
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"other-24\"")));
+    int reads = pfr_store_reads() - before;
+    cr_expect_leq(reads, 3 * 10, "%d", reads); /* of three nodes */
+}
+
 /* Entries that their nodes couldn't take away, as the store was out when
  * they went: requests go elsewhere, and the entries go in the end. */
 Test(mesh_faults, entries_of_nodes_that_are_gone)
