--- a/src/node/inb.c
+++ b/src/node/callers/inb.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "anc.h"
 #include "atr.h"
 #include "inb_parse.h"
 #include "lav/ctr.h"
@@ -214,11 +215,11 @@
 inb_announce(inb *i, struct MHD_Connection *connection,
              const inb_request *request)
 {
-    inb_announcement announcement;
+    anc announcement;
     err e = ERR_INIT;
     const char *text = request->body == NULL ? "" : request->body;
     if (request->length > INB_ANNOUNCEMENT_MAX ||
-        inb_parse_announcement(&announcement, text, &e) < 0) {
+        anc_parse(&announcement, text, &e) < 0) {
         return inb_refuse_for_ever(connection, REASON_BAD_REQUEST);
     }
     atr_announce(i->node->admitter, &announcement);
--- a/src/node/atr.c
+++ b/src/node/target/atr.c
@@ -242,7 +242,7 @@
 
 /* The local target has announced itself. */
 void
-atr_announce(atr *a, const inb_announcement *announcement)
+atr_announce(atr *a, const anc *announcement)
 {
     atr_event event = {.kind = ATR_EVENT_ANNOUNCE};
     event.announcement = *announcement;
--- a/src/node/atr.h
+++ b/src/node/target/atr.h
@@ -7,9 +7,10 @@
 #ifndef LAV_NODE_ATR_H
 #define LAV_NODE_ATR_H
 
-#include "inb_parse.h"
+#include "anc.h"
 #include "lav/amo.h"
 #include "lav/dsp.h"
+#include "lav/msg.h"
 #include "node.h"
 
 typedef struct atr atr;
@@ -26,7 +27,7 @@
 void atr_arrive(int slot, msg *request, void *payload);
 int atr_cancel(atr *a, uint64_t nonce, int slot);
 void atr_delivered(const struct dlv_result *result, void *payload);
-void atr_announce(atr *a, const inb_announcement *announcement);
+void atr_announce(atr *a, const anc *announcement);
 void atr_set_map(atr *a, const amo_map *map);
 
 #endif
--- a/src/node/atr_private.h
+++ b/src/node/target/atr_private.h
@@ -40,7 +40,7 @@
 
 typedef struct atr_target {
     bool known;
-    inb_announcement said;
+    anc said;
     int64_t heard_us;
     int64_t drain_since_us; /* with draining */
     bool draining;
@@ -61,7 +61,7 @@
         msg *request;      /* ATR_EVENT_CALL, owned */
         dlv_result result; /* ATR_EVENT_DELIVERED */
         uint64_t nonce;    /* ATR_EVENT_CANCEL */
-        inb_announcement announcement;
+        anc announcement;
         amo_map *map; /* ATR_EVENT_MAP, owned */
     };
 } atr_event;
@@ -91,7 +91,7 @@
 void atr_call_dispatch_next(atr *a, int64_t now_us);
 
 /* atr_target.c */
-void atr_target_announce(atr *a, const inb_announcement *said, int64_t now_us);
+void atr_target_announce(atr *a, const anc *said, int64_t now_us);
 void atr_target_tick(atr *a, int64_t now_us);
 void atr_target_failed(atr *a);
 bool atr_target_ready(const atr *a, int64_t now_us);
--- a/src/node/atr_target.c
+++ b/src/node/target/atr_target.c
@@ -32,7 +32,7 @@
 
 /* The target announced itself: at its start, and regularly after that. */
 void
-atr_target_announce(atr *a, const inb_announcement *said, int64_t now_us)
+atr_target_announce(atr *a, const anc *said, int64_t now_us)
 {
     atr_target *target = &a->target;
     bool started = !target->known || target->said.start != said->start;
