ent_log, lcl_log: kinds of answers have bounds of their own

Ruled out: a higher bound, which a larger burst uses up as well. Change: each kind has its own bound: not begun, refused, unknown; of callers and of calls. The entry's lines moved into ent_log, out of ent and ent_answer. Test: log/answers_of_one_kind_dont_hide_others, a table of kinds.

--- a/src/flow/ent.c
+++ b/src/flow/ent.c
@@ -1,10 +1,10 @@
 #include "ent.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "ent_log.h"
 #include "ent_private.h"
 #include "lav/clk.h"
 #include "lav/ctr.h"
@@ -82,27 +82,6 @@
     rsp_end(s);
 }
 
-/* What was answered in our own name, and on what grounds. */
-static void
-ent_log_answer(const ent_request *q, int status, enum reason reason)
-{
-    const nod *n = q->n;
-    if (!log_due("answer", LOG_LINES_PER_S)) {
-        return;
-    }
-    const flt_record *last = flt_get(n->fleet, q->last_member);
-    log_event(LOG_INFO, "answer", q->r.id,
-              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I}", "status",
-              status, "reason", reason_name(reason), "service", q->service,
-              "waited_us", (json_int_t)(n->l->now_us - q->r.arrived_us),
-              "left_us", (json_int_t)(q->r.deadline_us - n->l->now_us),
-              "attempts_left", q->attempts_left, "moves", q->reroutes, "depth",
-              q->r.depth, "last_node", last == NULL ? "" : last->node,
-              "begun_share", gat_level_of(n->gate, q->r.route), "held_back_by",
-              flt_service_name(n->fleet, gat_service_of(n->gate, q->r.route)),
-              "desired", (json_int_t)nod_version(n));
-}
-
 /* Answer in our own name.  A 503 says that the request has not run and never
  * will, and when to come back. */
 void
--- a/src/flow/ent_answer.c
+++ b/src/flow/ent_answer.c
@@ -1,15 +1,12 @@
-#include <jansson.h>
 #include <string.h>
 
+#include "ent_log.h"
 #include "ent_private.h"
 #include "lav/clk.h"
 #include "lav/ctr.h"
-#include "lav/log.h"
 #include "lav/rty.h"
 #include "mtr.h"
 
-#define ENT_SERVED_PER_S 4 /* lines on answers that were handed on */
-
 /* Final answer to a request that no attempt has answered; "not run" only
  * where that is true of all its attempts. */
 static void
@@ -149,17 +146,7 @@
 {
     ent_request *q = payload;
     q->attempt.kind = ENT_ATTEMPT_NONE;
-    if (log_due("attempt", LOG_LINES_PER_S)) {
-        const flt_record *at = flt_get(q->n->fleet, failure->member);
-        log_event(LOG_INFO, "attempt", q->r.id,
-                  "{s:s,s:s,s:b,s:s,s:s,s:I,s:i}", "outcome",
-                  outcome_name(failure->outcome), "reason",
-                  reason_name(failure->reason), "reached_target",
-                  failure->reached, "node", at == NULL ? "" : at->node,
-                  "instance", at == NULL ? "" : at->instance, "after_us",
-                  (json_int_t)(q->n->l->now_us - q->r.arrived_us), "depth",
-                  q->r.depth);
-    }
+    ent_log_attempt(q, failure);
     if (q->committed) {
         ctr_reason(REASON_REPLY_TRUNCATED);
         hcn_break(q->s->c); /* ent_on_end() releases the request */
@@ -239,25 +226,6 @@
     }
 }
 
-/* A sample of the answers that were handed on; those of failed runs come
- * before others. */
-static void
-ent_log_served(const ent_request *q)
-{
-    bool failed = q->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR;
-    const char *event = failed ? "target_failed" : "served";
-    if (!log_due(event, failed ? LOG_LINES_PER_S : ENT_SERVED_PER_S)) {
-        return;
-    }
-    const flt_record *at = flt_get(q->n->fleet, q->last_member);
-    log_event(LOG_INFO, event, q->r.id, "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i}",
-              "status", q->status, "service", q->service, "node",
-              at == NULL ? "" : at->node, "instance",
-              at == NULL ? "" : at->instance, "took_us",
-              (json_int_t)(q->n->l->now_us - q->r.arrived_us), "attempts_left",
-              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth);
-}
-
 static void
 ent_on_done(void *payload)
 {
--- /dev/null
+++ b/src/flow/ent_log.c
@@ -0,0 +1,82 @@
+#include "ent_log.h"
+
+#include <jansson.h>
+
+#include "lav/log.h"
+
+#define ENT_SERVED_PER_S 4 /* lines on answers that were handed on */
+
+/* The answers that share one bound of lines a second: a burst that is refused
+ * at the top must not hide the failed call of a request that was begun, nor
+ * either of them an unknown outcome. */
+const char *
+ent_log_group(enum reason reason, int status, int depth)
+{
+    if (status != HTTP_STATUS_SERVICE_UNAVAILABLE) {
+        return depth > 0 ? "answer (call, unknown)" : "answer (unknown)";
+    }
+    if (depth > 0) {
+        return "answer (call, refused)";
+    }
+    return reason == REASON_EARLY_REFUSAL ? "answer (not begun)"
+                                          : "answer (refused)";
+}
+
+/* What was answered in our own name, and on what grounds. */
+void
+ent_log_answer(const ent_request *q, int status, enum reason reason)
+{
+    const nod *n = q->n;
+    if (!log_due(ent_log_group(reason, status, q->r.depth), LOG_LINES_PER_S)) {
+        return;
+    }
+    const flt_record *last = flt_get(n->fleet, q->last_member);
+    log_event(LOG_INFO, "answer", q->r.id,
+              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I}", "status",
+              status, "reason", reason_name(reason), "service", q->service,
+              "waited_us", (json_int_t)(n->l->now_us - q->r.arrived_us),
+              "left_us", (json_int_t)(q->r.deadline_us - n->l->now_us),
+              "attempts_left", q->attempts_left, "moves", q->reroutes, "depth",
+              q->r.depth, "last_node", last == NULL ? "" : last->node,
+              "begun_share", gat_level_of(n->gate, q->r.route), "held_back_by",
+              flt_service_name(n->fleet, gat_service_of(n->gate, q->r.route)),
+              "desired", (json_int_t)nod_version(n));
+}
+
+/* An attempt failed, and why. */
+void
+ent_log_attempt(const ent_request *q, const att_failure *failure)
+{
+    bool refused = failure->outcome == OUTCOME_NOT_RUN;
+    if (!log_due(refused ? "attempt (refused)" : "attempt (unknown)",
+                 LOG_LINES_PER_S)) {
+        return;
+    }
+    const flt_record *at = flt_get(q->n->fleet, failure->member);
+    log_event(LOG_INFO, "attempt", q->r.id, "{s:s,s:s,s:b,s:s,s:s,s:I,s:i}",
+              "outcome", outcome_name(failure->outcome), "reason",
+              reason_name(failure->reason), "reached_target", failure->reached,
+              "node", at == NULL ? "" : at->node, "instance",
+              at == NULL ? "" : at->instance, "after_us",
+              (json_int_t)(q->n->l->now_us - q->r.arrived_us), "depth",
+              q->r.depth);
+}
+
+/* A sample of the answers that were handed on; those of failed runs come
+ * before others. */
+void
+ent_log_served(const ent_request *q)
+{
+    bool failed = q->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR;
+    const char *event = failed ? "target_failed" : "served";
+    if (!log_due(event, failed ? LOG_LINES_PER_S : ENT_SERVED_PER_S)) {
+        return;
+    }
+    const flt_record *at = flt_get(q->n->fleet, q->last_member);
+    log_event(LOG_INFO, event, q->r.id, "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i}",
+              "status", q->status, "service", q->service, "node",
+              at == NULL ? "" : at->node, "instance",
+              at == NULL ? "" : at->instance, "took_us",
+              (json_int_t)(q->n->l->now_us - q->r.arrived_us), "attempts_left",
+              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth);
+}
--- a/src/flow/lcl_log.c
+++ b/src/flow/lcl_log.c
@@ -8,7 +8,9 @@
 void
 lcl_log_refusal(const lcl *d, const att_request *r, const att_failure *failure)
 {
-    if (!log_due("door", LOG_LINES_PER_S)) {
+    bool refused = failure->outcome == OUTCOME_NOT_RUN;
+    if (!log_due(refused ? "door (refused)" : "door (unknown)",
+                 LOG_LINES_PER_S)) {
         return;
     }
     log_event(LOG_INFO, "door", r->id,
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "ent_log.h"
 #include "lav/clk.h"
 #include "lav/log.h"
 
@@ -105,3 +106,38 @@
     }
     cr_expect_gt(log_lost(), 10000);
 }
+
+typedef struct group_case {
+    enum reason reason;
+    int status;
+    int depth; /* 1: a target's call */
+} group_case;
+
+static const group_case group_cases[] = {
+    {REASON_EARLY_REFUSAL, 503, 0}, {REASON_QUEUE_TIMEOUT, 503, 0},
+    {REASON_LEVEL_REFUSAL, 503, 1}, {REASON_REPLY_LOST, 502, 0},
+    {REASON_TIMEOUT, 504, 1},
+};
+
+#define GROUPS (sizeof(group_cases) / sizeof(group_cases[0]))
+
+/* A flood of one kind of answers leaves the lines on the others alone. */
+Test(log, answers_of_one_kind_dont_hide_others)
+{
+    for (size_t flood = 0; flood < GROUPS; flood++) {
+        const group_case *f = &group_cases[flood];
+        clk_pause(CLK_US_PER_S * (int64_t)(flood + 1), 0);
+        for (int i = 0; i < LOG_LINES_PER_S + 1; i++) {
+            log_due(ent_log_group(f->reason, f->status, f->depth),
+                    LOG_LINES_PER_S);
+        }
+        for (size_t i = 0; i < GROUPS; i++) {
+            const group_case *c = &group_cases[i];
+            bool due = log_due(ent_log_group(c->reason, c->status, c->depth),
+                               LOG_LINES_PER_S);
+            cr_expect_eq(due, i != flood, "%zu after a flood of %zu", i,
+                         flood);
+        }
+    }
+    clk_resume();
+}
