tests: a claim that another start of a node answers

Cause: of the mutants of the platform's node, "claims of another start are believed" was caught by no test, as no test had the far node start anew between the break of a hop and the claim. Change: mesh_hops/claims_of_another_start stops the near node, kills and starts the far one, and lets the near one go on.

--- a/tests/integration/mesh_hop_test.c
+++ b/tests/integration/mesh_hop_test.c
@@ -1,5 +1,6 @@
 /* Connections between nodes that break while a request is under way. */
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -55,6 +56,31 @@
     cr_expect(pfr_log_has(0, "\"outcome\":\"unknown\""));
 }
 
+/* The far node dies with the request and starts anew before its answer is
+ * claimed: what the new start does not know may have run at the old one. */
+Test(mesh_hops, claims_of_another_start)
+{
+    const char *request = "POST /n/slow HTTP/1.1\r\nHost: h.example\r\n"
+                          "Lavenderfield-Attempt-Id: restarted\r\n"
+                          "Content-Length: 0\r\n\r\n";
+    pfr_answer answer;
+    int fd = pfr_connect(0);
+    pfr_send(fd, request, strlen(request));
+    cr_assert(PFR_AWAIT(pfr_runs("restarted") == 1));
+    int far = pfr_run_node("restarted");
+    pfr_signal_node(0, SIGSTOP); /* sees nothing of it yet */
+    pfr_signal_node(far, SIGKILL);
+    cr_expect_neq(pfr_await_node_end(far), -1);
+    pfr_start_node(far);
+    cr_expect(PFR_AWAIT(pfr_ready_status(far) != 0));
+    pfr_signal_node(0, SIGCONT);
+    pfr_read_answer(&answer, fd);
+    cr_expect_eq(answer.status, 502, "%d", answer.status);
+    cr_expect_eq(pfr_runs("restarted"), 1);
+    pfr_clear(&answer);
+    close(fd);
+}
+
 /* The caller leaves after the reset: the run is ended all the same. */
 Test(mesh_hops, nobody_claims)
 {
