lcl: what the earlier start of a target was told does not mark the new one lost

Its nodes' logs: after a power loss a node takes over its target's old identity from the store, sends a request, the new target registers, then the request's 421 arrives ("another instance has its address") and the node takes the target that has just registered for lost, until its next registration 1.35 s later. All four nodes of that service were away so within half a second. Ruled out: a wrong registration order (born and sequence rise); the other nodes' choice (they moved on for free). Change: a call keeps the count of the target's starts; only one of the present start marks the target lost. Test: mesh_faults/a_target_registers_while_old_requests_end, failed before (target_lost in the log, not served again), passes.

--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -143,6 +143,7 @@
               instance, "was", d->instance, "born_ms", (json_int_t)born_ms);
     g_strlcpy(d->instance, instance, sizeof(d->instance));
     d->born_ms = born_ms;
+    d->start++;
     d->sequence = 0;
     d->heard = false;
     d->leaving = false;
@@ -212,12 +213,13 @@
     lcl_announce(d);
 }
 
-/* The target could not be reached, or is another one: no more calls until
- * it registers again. */
+/* The target of a call could not be reached, or is another one: no more calls
+ * until it registers again, unless a later start of it has already done so. */
 void
-lcl_down(lcl *d, const char *why)
+lcl_call_down(const lcl_call *call, const char *why)
 {
-    if (!d->down) {
+    lcl *d = call->d;
+    if (!d->down && call->start == d->start) {
         log_event(LOG_WARN, "target_lost", NULL, "{s:s,s:s,s:i}", "instance",
                   d->instance, "why", why, "running",
                   adm_in_flight(d->admission));
--- a/src/flow/lcl_private.h
+++ b/src/flow/lcl_private.h
@@ -17,8 +17,9 @@
     int64_t born_ms;
     int64_t sequence;
     int slots;
-    bool heard;   /* it has registered with this start of the node */
-    dpt departed; /* targets here that have said that they leave */
+    uint64_t start; /* counts the starts of targets here */
+    bool heard;     /* it has registered with this start of the node */
+    dpt departed;   /* targets here that have said that they leave */
     bool leaving;
     int64_t closes_us; /* no new work from then on, while it leaves */
     bool down;         /* could not be reached since it last registered */
@@ -39,6 +40,7 @@
     const att_sink *sink;
     void *payload;
     uint64_t nonce;
+    uint64_t start; /* of the target that it was dispatched to */
     int handle;
     bool running;
     hcn *c;
@@ -57,6 +59,6 @@
 void lcl_finish(lcl_call *call, bool failed);
 void lcl_fail(lcl_call *call, enum outcome outcome, enum reason reason,
               bool reached);
-void lcl_down(lcl *d, const char *why);
+void lcl_call_down(const lcl_call *call, const char *why);
 
 #endif
--- a/src/flow/lcl_target.c
+++ b/src/flow/lcl_target.c
@@ -23,13 +23,12 @@
 lcl_on_end(hcn *c, enum hcn_end end, void *payload)
 {
     lcl_call *call = payload;
-    lcl *d = call->d;
     bool connected = hcn_connected(c);
     call->c = NULL;
     hcn_close(c);
     if (!connected) {
-        lcl_down(d, end == HCN_REFUSED ? "refuses connections"
-                                       : "can't be reached");
+        lcl_call_down(call, end == HCN_REFUSED ? "refuses connections"
+                                               : "can't be reached");
         lcl_fail(call, OUTCOME_NOT_RUN, REASON_TARGET_DOWN, false);
         return;
     }
@@ -141,7 +140,7 @@
     call->c = NULL;
     hpl_put(d->n->pool, c, call->ended ? call->keep_us : 0);
     if (call->refusal == REASON_WRONG_TARGET) {
-        lcl_down(d, "another instance has its address");
+        lcl_call_down(call, "another instance has its address");
     }
     if (call->refusal != REASON_NONE) {
         lcl_fail(call, OUTCOME_NOT_RUN, call->refusal, true);
@@ -210,6 +209,7 @@
 {
     lcl *d = call->d;
     call->started_us = d->n->l->now_us;
+    call->start = d->start;
     if (call->r->deadline_us <= d->n->l->now_us) {
         *reason = REASON_DEADLINE;
         return ERR_UNAVAILABLE;
--- a/tests/integration/chain_test.c
+++ b/tests/integration/chain_test.c
@@ -67,8 +67,7 @@
     id request;
     rig_start(&r, "chain", c->policy);
     int port = fld_find(&r.field, "s1", 0)->callers_port;
-    int status =
-        rig_post(port, "/call/s1/go", NULL, 1, "{}", outcome, reason);
+    int status = rig_post(port, "/call/s1/go", NULL, 1, "{}", outcome, reason);
     cr_expect_eq(status, 200, "%d, %s, %s", status, outcome, reason);
     int whole = exl_count_runs(&r.field, "go");
     cr_expect_eq(whole, CALLS);
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -130,6 +130,29 @@
     cr_expect(served_by_first("back"));
 }
 
+/* What a request to the target's earlier start was told says nothing of the
+ * new one that has registered meanwhile. */
+Test(mesh_faults, a_target_registers_while_old_requests_end)
+{
+    static const char request[] = "GET /i/misplaced-at-1 HTTP/1.1\r\n"
+                                  "Host: h.example\r\n"
+                                  "Lavenderfield-Attempt-Id: old\r\n\r\n";
+    pfr_answer answer;
+    cr_expect_eq(pfr_beat(2, "draining", 0), 200);
+    pfr_sleep_ms(500);
+    int fd = pfr_connect(0);
+    pfr_send(fd, request, sizeof(request) - 1);
+    cr_assert(PFR_AWAIT(pfr_arrivals("old") == 1));
+    pfr_new_lifetime(1, "i-1-again");
+    cr_expect_eq(pfr_beat(1, "ready", 0), 200);
+    pfr_read_answer(&answer, fd);
+    cr_expect_eq(pfr_runs("old"), 0);
+    pfr_clear(&answer);
+    close(fd);
+    cr_expect_not(pfr_log_has(1, "\"event\":\"target_lost\""));
+    cr_expect(served_by_first("new"));
+}
+
 /* No instance takes it: the refusal names why, not that none is left. */
 Test(mesh_faults, a_refusal_names_the_last_reason)
 {
--- a/tests/integration/pfr_target.c
+++ b/tests/integration/pfr_target.c
@@ -246,6 +246,14 @@
         pfr_reply(fd, 503, headers, "", 0);
         return true;
     }
+    if (pfr_is(mode, "misplaced")) { /* by who has the address now, late */
+        pfr_note(id, request, node, 0);
+        pfr_sleep_ms(300);
+        snprintf(headers, sizeof(headers), "Lavenderfield-Attempt-Id: %s\r\n",
+                 id);
+        pfr_reply(fd, 421, headers, "", 0);
+        return true;
+    }
     pfr_note(id, request, node, 1);
     if (pfr_is(mode, "reset")) {
         pfr_reset(fd);
