log: a flood of one event is sampled evenly, not at the start of each second

Ruled out: a higher bound (volume), lines by a part of the ids (calls have ids of their own, so the parts of a chain would not meet). Change: a second's worth of lines, which comes back evenly. Test: log/a_flood_is_sampled_all_the_time: 18 tenths of a second of 19 without a line before, 3 to 5 in each now.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,7 @@
 #include "lav/log.h"
 
 #include <fcntl.h>
+#include <glib.h>
 #include <jansson.h>
 #include <pthread.h>
 #include <stdarg.h>
@@ -14,11 +15,13 @@
 #define LOG_MESSAGE_SIZE 512 /* bytes, with the closing NUL */
 #define LOG_NAME_SIZE 64     /* bytes, with the closing NUL */
 
-/* How often an event has come in the second that runs. */
+/* How many lines of an event may be written now: a second's worth at most,
+ * coming back evenly, so that a flood is sampled all the time. */
 typedef struct log_rate {
     const char *event;
-    int64_t second;
-    int lines;
+    double lines;
+    int64_t filled_us; /* when it was last counted up */
+    int64_t second;    /* when lines were last said to be left out */
     int left_out;
 } log_rate;
 
@@ -131,22 +134,40 @@
     return &log_rates[log_rate_count++];
 }
 
+/* Count up the lines that may be written since the last time; more than a
+ * second's worth are not saved up. */
+static void
+log_refill(log_rate *rate, int lines_per_s, int64_t now_us)
+{
+    int64_t passed_us = now_us - rate->filled_us;
+    if (rate->filled_us == 0 || passed_us >= CLK_US_PER_S) {
+        rate->lines = lines_per_s;
+    }
+    else {
+        double more = (double)passed_us * lines_per_s / CLK_US_PER_S;
+        rate->lines = MIN(rate->lines + more, lines_per_s);
+    }
+    rate->filled_us = now_us;
+}
+
 /* Whether a line of this event (static text) may be written now; if not, it
  * is counted.  Asked before the fields are worked out. */
 bool
 log_due(const char *event, int lines_per_s)
 {
-    int64_t second = clk_now_us() / CLK_US_PER_S;
+    int64_t now_us = clk_now_us();
     int left_out = 0;
     pthread_mutex_lock(&log_lock);
     log_rate *rate = log_rate_of(event);
-    if (rate->second != second) {
+    log_refill(rate, lines_per_s, now_us);
+    if (rate->second != now_us / CLK_US_PER_S) {
+        rate->second = now_us / CLK_US_PER_S;
         left_out = rate->left_out;
-        *rate = (log_rate){.event = event, .second = second};
+        rate->left_out = 0;
     }
-    bool due = rate->lines < lines_per_s;
+    bool due = rate->lines >= 1;
     if (due) {
-        rate->lines++;
+        rate->lines--;
     }
     else {
         rate->left_out++;
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -98,6 +98,27 @@
     clk_resume();
 }
 
+/* A flood of ten thousand a second is sampled evenly after its first lines,
+ * and not at the beginning of each second only. */
+Test(log, a_flood_is_sampled_all_the_time)
+{
+    int tenths[20] = {0};
+    pipe_stdout();
+    clk_pause(CLK_US_PER_S, 0);
+    for (int i = 0; i < 20000; i++) {
+        tenths[i / 1000] += log_due("flood", LOG_LINES_PER_S);
+        clk_advance_us(100);
+    }
+    clk_resume();
+    cr_expect_geq(tenths[0], LOG_LINES_PER_S);
+    for (int i = 1; i < 20; i++) {
+        cr_expect_geq(tenths[i], LOG_LINES_PER_S / 10 - 1, "%d: %d", i,
+                      tenths[i]);
+        cr_expect_leq(tenths[i], LOG_LINES_PER_S / 10 + 1, "%d: %d", i,
+                      tenths[i]);
+    }
+}
+
 Test(log, a_reader_that_does_not_read_costs_lines, .timeout = 30)
 {
     pipe_stdout();
