--- a/src/flow/ent_log.c
+++ b/src/flow/ent_log.c
@@ -31,14 +31,16 @@
         return;
     }
     const flt_record *last = flt_get(n->fleet, q->last_member);
+    bool routed = q->r.deadline_us != 0; /* else it was refused before */
+    int64_t left_us = routed ? q->r.deadline_us - n->l->now_us : 0;
     log_event(LOG_INFO, "answer", q->r.id,
               "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I}", "status",
               status, "reason", reason_name(reason), "service", q->service,
               "waited_us", (json_int_t)(n->l->now_us - q->r.arrived_us),
-              "left_us", (json_int_t)(q->r.deadline_us - n->l->now_us),
-              "attempts_left", q->attempts_left, "moves", q->reroutes, "depth",
-              q->r.depth, "last_node", last == NULL ? "" : last->node,
-              "begun_share", gat_level_of(n->gate, q->r.route), "held_back_by",
+              "left_us", (json_int_t)left_us, "attempts_left",
+              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth,
+              "last_node", last == NULL ? "" : last->node, "begun_share",
+              gat_level_of(n->gate, q->r.route), "held_back_by",
               flt_service_name(n->fleet, gat_service_of(n->gate, q->r.route)),
               "desired", (json_int_t)nod_version(n));
 }
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 #include <stdio.h>
 
+#define MESH_PAUSE_MS 50 /* below the rate at which lines are left out */
+
 static const char *const services[] = {"near", "far", "far"};
 
 static void
@@ -19,7 +21,7 @@
         char path[32];
         char id[32];
         bool reached = false;
-        for (int j = 0; j < 500 && !reached; j++) {
+        for (int j = 0; j < 200 && !reached; j++) {
             pfr_answer answer;
             snprintf(path, sizeof(path), "/i/shed-at-%d", 3 - i);
             snprintf(id, sizeof(id), "start-%d-%d", i, j);
@@ -27,7 +29,7 @@
             reached = answer.status == 200 && pfr_run_node(id) == i;
             pfr_clear(&answer);
             if (!reached) {
-                pfr_sleep_ms(10);
+                pfr_sleep_ms(MESH_PAUSE_MS);
             }
         }
         cr_assert(reached, "node %d", i);
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -241,7 +241,9 @@
                  c->node, c->peer < 0 ? 1 : pfr_peers_port(c->peer), c->node);
         pfr_store_put("lavnodes", c->node, spec);
     }
-    pfr_sleep_ms(200);
+    for (size_t i = 0; i < COUNT(stale_cases); i++) {
+        cr_assert(PFR_AWAIT(pfr_log_has(0, stale_cases[i].node)));
+    }
     for (int i = 0; i < 30; i++) {
         char id[32];
         pfr_answer answer;
