emf, lcl_log, tests: comments that were wrong or missing

Ruled out as worth a change: emf_load and scn_load share the frame of each file reader, not logic; the tests' pairs of the same shape send different requests. Change: three comments, no code.

--- a/lab/emf.h
+++ b/lab/emf.h
@@ -2,7 +2,7 @@
  * emf: an emulation as a file: services, kinds of requests with the calls
  * that they make, and the trouble of the day.
  *
- *   [emulation]  name, seconds, zones, seed
+ *   [emulation]  name, length, zones, seed
  *   [services.NAME]  instances, slots, speeds (of the instances in turn)
  *   [kinds.NAME]  service, per_s (0 or left out: calls only), work,
  *                 objective, timeout, priority, worth, calls ("KIND TIMES")
--- a/src/flow/lcl_log.c
+++ b/src/flow/lcl_log.c
@@ -8,6 +8,7 @@
 void
 lcl_log_refusal(const lcl *d, const att_request *r, const att_failure *failure)
 {
+    /* A flood of refusals must not hide an unknown outcome. */
     bool refused = failure->outcome == OUTCOME_NOT_RUN;
     if (!log_due(refused ? "door (refused)" : "door (unknown)",
                  LOG_LINES_PER_S)) {
--- a/tests/integration/config_test.c
+++ b/tests/integration/config_test.c
@@ -235,6 +235,7 @@
     rig_stop(&r);
 }
 
+/* Wait until one node has a version over `than`. */
 static void
 wait_for(const fld_instance *instance, int64_t than)
 {
