anc: the file that .gitignore kept out of the repository

The rooms of src/node put it into src/node/target/, and .gitignore ignored every folder named target, not only the build folder at the root; the build takes sources by pattern, so it was there on the machine where it was written and nowhere else. The files moved there by 'git mv' were tracked already and did not show it. Ruled out: a fault of the build or of a package; all other sources are there. What a target announces gets a table of cases, which it never had.

--- /dev/null
+++ b/src/node/target/anc.h
@@ -0,0 +1,26 @@
+/*
+ * anc: what a target announces of itself to its node, at its start and
+ * regularly after that.
+ */
+#ifndef LAV_NODE_ANC_H
+#define LAV_NODE_ANC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lav/err.h"
+#include "node.h"
+
+typedef struct anc {
+    char url[NST_URL_SIZE];
+    int slots;
+    bool draining;
+    bool cold;
+    uint64_t start; /* changes with each start of the target */
+} anc;
+
+/* Reads an announcement, NUL-terminated text of a caller that may be wrong in
+ * every way.  0, or ERR_INVALID with the reason in `e`. */
+int anc_parse(anc *out, const char *text, err *e);
+
+#endif
--- /dev/null
+++ b/tests/unit/target_test.c
@@ -0,0 +1,81 @@
+/* What a target announces to its node: an outside message. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "anc.h"
+
+typedef struct anc_case {
+    const char *text;
+    anc expected;
+} anc_case;
+
+static const anc_case anc_cases[] = {
+    {"{\"url\": \"http://a:1\", \"slots\": 50, \"draining\": false, "
+     "\"cold\": true, \"start\": 17}",
+     {"http://a:1", 50, false, true, 17}},
+    {"{\"url\": \"\", \"slots\": 512, \"draining\": true, \"cold\": false, "
+     "\"start\": 0}",
+     {"", 512, true, false, 0}},
+};
+
+Test(target, an_announcement_is_read)
+{
+    for (size_t k = 0; k < sizeof(anc_cases) / sizeof(anc_cases[0]); k++) {
+        const anc_case *c = &anc_cases[k];
+        anc said;
+        err e = ERR_INIT;
+        cr_assert_eq(anc_parse(&said, c->text, &e), 0, "%s", c->text);
+        cr_assert_str_eq(said.url, c->expected.url);
+        cr_assert_eq(said.slots, c->expected.slots);
+        cr_assert_eq(said.draining, c->expected.draining);
+        cr_assert_eq(said.cold, c->expected.cold);
+        cr_assert_eq(said.start, c->expected.start);
+    }
+}
+
+static const char *const anc_wrong[] = {
+    "",
+    "[]",
+    "{\"url\": \"http://a:1\"",
+    /* without `start`; with a member nobody knows; of another type */
+    "{\"url\": \"u\", \"slots\": 5, \"draining\": false, \"cold\": true}",
+    "{\"url\": \"u\", \"slots\": 5, \"draining\": false, \"cold\": true, "
+    "\"start\": 1, \"more\": 1}",
+    "{\"url\": \"u\", \"slots\": \"5\", \"draining\": false, \"cold\": true, "
+    "\"start\": 1}",
+    /* one slot too few, one too many */
+    "{\"url\": \"u\", \"slots\": 0, \"draining\": false, \"cold\": true, "
+    "\"start\": 1}",
+    "{\"url\": \"u\", \"slots\": 513, \"draining\": false, \"cold\": true, "
+    "\"start\": 1}",
+};
+
+Test(target, a_wrong_announcement_is_refused)
+{
+    for (size_t k = 0; k < sizeof(anc_wrong) / sizeof(anc_wrong[0]); k++) {
+        anc said;
+        err e = ERR_INIT;
+        cr_assert_eq(anc_parse(&said, anc_wrong[k], &e), ERR_INVALID, "%s",
+                     anc_wrong[k]);
+    }
+}
+
+/* A url as long as the buffer has no room for its end. */
+Test(target, a_url_too_long_is_refused)
+{
+    char url[NST_URL_SIZE + 1];
+    char text[NST_URL_SIZE + 128];
+    anc said;
+    err e = ERR_INIT;
+    for (size_t length = NST_URL_SIZE - 1; length <= NST_URL_SIZE; length++) {
+        memset(url, 'u', length);
+        url[length] = '\0';
+        snprintf(text, sizeof(text),
+                 "{\"url\": \"%s\", \"slots\": 1, \"draining\": false, "
+                 "\"cold\": false, \"start\": 1}",
+                 url);
+        int expected = length < NST_URL_SIZE ? 0 : ERR_INVALID;
+        cr_assert_eq(anc_parse(&said, text, &e), expected);
+    }
+}
