lcl: a node that starts again asks its target before giving it work

The next start of the node finds the store's old entry once the store is back and took the target for ready, although it is leaving and registers no more: requests would reach it long after the drain time. Besides, a node that started again counted the slots of its target from none, while targets that go on after their connections closed still hold some; the load they tell was not read. Ruled out: writing the departure down before it is acknowledged (no store in an outage, no disk); telling peers (the node that starts doesn't know them before the store or a caller reaches it, and they may be restarted as well); waiting for the next registration (up to a heartbeat and more without a sound target). Change: the entry only names a candidate; the target is asked under the health path that the desired state names for its service (rts_set_health), once, and is taken over where it says under its own name that it is well and stays.

--- a/include/lav/rts.h
+++ b/include/lav/rts.h
@@ -52,6 +52,8 @@
 int rts_new(rts **out, uint64_t version, const rts_limits *limits);
 void rts_free(rts *set);
 int rts_add(rts *set, const rts_route *route);
+int rts_set_health(rts *set, const char *service, const char *path);
+const char *rts_health(const rts *set, const char *service);
 void rts_seal(rts *set);
 const rts_limits *rts_limits_of(const rts *set);
 uint64_t rts_version(const rts *set);
--- a/src/core/rts.c
+++ b/src/core/rts.c
@@ -10,7 +10,8 @@
 struct rts {
     uint64_t version;
     rts_limits limits;
-    GHashTable *hosts; /* lower-case host -> GPtrArray of rts_route */
+    GHashTable *hosts;  /* lower-case host -> GPtrArray of rts_route */
+    GHashTable *health; /* service -> path */
     size_t count;
 };
 
@@ -41,6 +42,8 @@
     set->limits = *limits;
     set->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                        rts_routes_free);
+    set->health =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     *out = set;
     return 0;
 }
@@ -51,6 +54,7 @@
 {
     if (set != NULL) {
         g_hash_table_destroy(set->hosts);
+        g_hash_table_destroy(set->health);
         free(set);
     }
 }
@@ -98,6 +102,26 @@
     return 0;
 }
 
+/* Under which path a target of a service tells whether it is well;
+ * ERR_INVALID where it is no path. */
+int
+rts_set_health(rts *set, const char *service, const char *path)
+{
+    if (path[0] != '/' || strlen(path) >= RTS_TEXT_MAX ||
+        strpbrk(path, " \t\r\n") != NULL) {
+        return ERR_INVALID;
+    }
+    g_hash_table_insert(set->health, g_strdup(service), g_strdup(path));
+    return 0;
+}
+
+/* That path; NULL where none is known. */
+const char *
+rts_health(const rts *set, const char *service)
+{
+    return g_hash_table_lookup(set->health, service);
+}
+
 static gint
 rts_longer_first(gconstpointer a, gconstpointer b)
 {
--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -89,7 +89,8 @@
 {
     char path[FWD_PATH_SIZE];
     snprintf(path, sizeof(path), FWD_CANCEL_PATH "%" PRIx64, f->nonce);
-    hcl_options opts = {"POST", path, NULL, 0, FWD_ASK_US};
+    hcl_options opts = {
+        .method = "POST", .path = path, .timeout_us = FWD_ASK_US};
     hpl_drop(f->n->pool, &f->to);
     if (hcl_start(&f->question, f->n->pool, f->n->l, &f->to, &opts,
                   fwd_on_record, f) < 0) {
--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -76,6 +76,7 @@
 lcl_free(lcl *d)
 {
     if (d != NULL) {
+        hcl_cancel(d->question);
         adm_free(d->admission);
         dsp_free(d->record);
         free(d);
@@ -83,12 +84,13 @@
 }
 
 /* Calls that the target may run at once: below the part of its slots from
- * which some targets turn slow. */
-static int
-lcl_limit(int slots)
+ * which some targets turn slow, less those of an earlier start. */
+void
+lcl_set_limit(lcl *d)
 {
-    int limit = (int)ceil(slots * LCL_FULL_PART) - 1;
-    return limit < 1 ? 1 : limit;
+    int limit =
+        (int)ceil(d->slots * LCL_FULL_PART) - 1 - rsd_calls(&d->residue);
+    adm_set_slots(d->admission, limit < 1 ? 1 : limit, false, d->n->l->now_us);
 }
 
 /* State of the target, as it is told to others. */
@@ -105,7 +107,7 @@
 }
 
 /* Make the state known where it differs from what others were told. */
-static void
+void
 lcl_announce(lcl *d)
 {
     flt_record record = d->n->self;
@@ -136,7 +138,8 @@
               d->heard);
 }
 
-static void
+/* Another start of the target is here: nothing is known of it yet. */
+void
 lcl_new_start(lcl *d, const char *instance, int64_t born_ms)
 {
     log_event(LOG_INFO, "target_started", NULL, "{s:s,s:s,s:I}", "instance",
@@ -149,6 +152,7 @@
     d->leaving = false;
     d->down = false;
     d->failures = 0;
+    d->residue = (rsd){0};
     hpl_drop(d->n->pool, &d->at);
     if (dpt_has_left(&d->departed, instance, born_ms)) {
         lcl_close(d);
@@ -175,8 +179,7 @@
     d->down = false;
     if (beat->slots != d->slots) {
         d->slots = beat->slots;
-        adm_set_slots(d->admission, lcl_limit(d->slots), false,
-                      d->n->l->now_us);
+        lcl_set_limit(d);
     }
     if (beat->leaving && !d->leaving) {
         lcl_close(d);
@@ -198,21 +201,6 @@
     }
 }
 
-/* Take over what an earlier start of this node made known of its target; the
- * target itself refuses a request that names another instance. */
-void
-lcl_adopt(lcl *d, const flt_record *record)
-{
-    if (d->instance[0] != '\0' || record->state != FLT_READY ||
-        record->instance[0] == '\0') {
-        return;
-    }
-    lcl_new_start(d, record->instance, record->born_ms);
-    d->slots = record->slots;
-    adm_set_slots(d->admission, lcl_limit(d->slots), false, d->n->l->now_us);
-    lcl_announce(d);
-}
-
 /* The target of a call could not be reached, or is another one: no more calls
  * until it registers again, unless a later start of it has already done so. */
 void
--- a/src/flow/lcl.h
+++ b/src/flow/lcl.h
@@ -27,6 +27,7 @@
 bool lcl_register(lcl *d, const lcl_beat *beat);
 void lcl_leave(lcl *d, const char *instance);
 void lcl_adopt(lcl *d, const flt_record *record);
+void lcl_ask(lcl *d);
 int lcl_start(lcl_call **out, lcl *d, att_request *r, uint64_t nonce,
               const att_sink *sink, void *payload, att_failure *refused);
 void lcl_body(lcl_call *call);
--- /dev/null
+++ b/src/flow/lcl_adopt.c
@@ -0,0 +1,108 @@
+/* A node that starts again beside a target that has lived on: the target
+ * itself is asked before it gets work. */
+#include <jansson.h>
+#include <string.h>
+
+#include "hls.h"
+#include "lav/log.h"
+#include "lcl_private.h"
+
+#define LCL_ASK_US 1000000 /* 1 s; it registers itself soon after */
+#define LCL_LOAD_SIZE 64   /* bytes of its load, with the closing NUL */
+#define LCL_WELL 200       /* status of a target that is well and stays */
+
+/* The fields that are asked for, by their place in the answer. */
+enum lcl_field {
+    LCL_FIELD_ID,
+    LCL_FIELD_LOAD
+};
+
+static void
+lcl_take_over(lcl *d, const char *load_text)
+{
+    rsd_load load = {0};
+    bool told = rsd_load_parse(&load, load_text);
+    lcl_new_start(d, d->candidate.instance, d->candidate.born_ms);
+    if (told) {
+        rsd_begin(&d->residue, &load);
+    }
+    d->slots = d->candidate.slots;
+    lcl_set_limit(d);
+    log_event(LOG_INFO, "target_adopted", NULL, "{s:s,s:b,s:i,s:i,s:i}",
+              "instance", d->instance, "load_told", told, "running",
+              load.running, "waiting", load.waiting, "slots", d->slots);
+    lcl_announce(d);
+}
+
+static void
+lcl_on_health(const hcl_answer *answer, void *payload)
+{
+    lcl *d = payload;
+    const char *instance = answer->values[LCL_FIELD_ID];
+    d->question = NULL;
+    if (d->instance[0] == '\0') {
+        if (answer->result == HCL_ANSWERED && answer->status == LCL_WELL &&
+            strcmp(instance, d->candidate.instance) == 0) {
+            lcl_take_over(d, answer->values[LCL_FIELD_LOAD]);
+        }
+        else {
+            log_event(LOG_INFO, "target_not_adopted", NULL, "{s:s,s:s,s:i}",
+                      "instance", d->candidate.instance, "answered_by",
+                      instance, "status", answer->status);
+        }
+    }
+    d->candidate = (flt_record){0};
+}
+
+/* Ask the target that may have lived on how it is, if there is one and the
+ * desired state says how.  One that can't tell registers itself soon. */
+void
+lcl_ask(lcl *d)
+{
+    nod *n = d->n;
+    if (d->candidate.instance[0] == '\0' || d->question != NULL ||
+        n->routes == NULL) {
+        return;
+    }
+    const char *path = rts_health(n->routes, n->settings.service);
+    hcl_options opts = {.method = "GET",
+                        .path = path,
+                        .timeout_us = LCL_ASK_US,
+                        .fields = {n->fields->instance_id, n->fields->load}};
+    if (path == NULL || hcl_start(&d->question, n->pool, n->l, &d->at, &opts,
+                                  lcl_on_health, d) < 0) {
+        log_write(LOG_WARN, NULL, "target %s can't be asked how it is",
+                  d->candidate.instance);
+        d->candidate = (flt_record){0};
+    }
+}
+
+/* An earlier start of this node made a target known, which may have lived on,
+ * have left since, or be another one by now. */
+void
+lcl_adopt(lcl *d, const flt_record *record)
+{
+    if (d->instance[0] == '\0' && record->state == FLT_READY &&
+        record->instance[0] != '\0') {
+        d->candidate = *record;
+        lcl_ask(d);
+    }
+}
+
+/* The target tells its load in an answer. */
+void
+lcl_told_load(lcl *d, const htm *head)
+{
+    char text[LCL_LOAD_SIZE];
+    rsd_load load;
+    if (rsd_calls(&d->residue) > 0 &&
+        htm_copy(text, sizeof(text), htm_get(head, d->n->fields->load)) &&
+        rsd_load_parse(&load, text) &&
+        rsd_told(&d->residue, &load, adm_in_flight(d->admission))) {
+        lcl_set_limit(d);
+        if (rsd_calls(&d->residue) == 0) {
+            log_event(LOG_INFO, "earlier_calls_over", NULL, "{s:s}",
+                      "instance", d->instance);
+        }
+    }
+}
--- a/src/flow/lcl_private.h
+++ b/src/flow/lcl_private.h
@@ -6,6 +6,8 @@
 #include "lav/dpt.h"
 #include "lav/dsp.h"
 #include "lav/ovl.h"
+#include "hcl.h"
+#include "lav/rsd.h"
 #include "lcl.h"
 
 #define LCL_CALLS_MAX 4096 /* calls waiting and running at one target */
@@ -17,9 +19,12 @@
     int64_t born_ms;
     int64_t sequence;
     int slots;
-    uint64_t start; /* counts the starts of targets here */
-    bool heard;     /* it has registered with this start of the node */
-    dpt departed;   /* targets here that have said that they leave */
+    uint64_t start;       /* counts the starts of targets here */
+    bool heard;           /* it has registered with this start of the node */
+    flt_record candidate; /* may still be here; no instance: none */
+    hcl_call *question;   /* to it; NULL: none */
+    rsd residue;          /* calls of an earlier start of the node */
+    dpt departed;         /* targets here that have said that they leave */
     bool leaving;
     int64_t closes_us; /* no new work from then on, while it leaves */
     bool down;         /* could not be reached since it last registered */
@@ -55,6 +60,10 @@
 };
 
 enum flt_state lcl_state(const lcl *d);
+void lcl_announce(lcl *d);
+void lcl_set_limit(lcl *d);
+void lcl_new_start(lcl *d, const char *instance, int64_t born_ms);
+void lcl_told_load(lcl *d, const htm *head);
 int lcl_dispatch(lcl_call *call, enum reason *reason);
 void lcl_finish(lcl_call *call, bool failed);
 void lcl_fail(lcl_call *call, enum outcome outcome, enum reason reason,
--- a/src/flow/lcl_target.c
+++ b/src/flow/lcl_target.c
@@ -107,6 +107,7 @@
         lcl_mismatch(call, c, fault);
         return HCN_CLOSED;
     }
+    lcl_told_load(call->d, head);
     call->keep_us = lcl_keep_us(head);
     call->status = head->status;
     if (head->status == LCL_MISDIRECTED) {
--- a/src/flow/nod.h
+++ b/src/flow/nod.h
@@ -30,6 +30,8 @@
     const char *instance;       /* that alone may run the request */
     const char *not_executed;   /* in an answer: the target did not run it */
     const char *seal;           /* the target's proof of its answer */
+    const char *instance_id;    /* the target's name, where it is well */
+    const char *load;           /* running, waiting and slots of the target */
 } nod_fields;
 
 /* Reads a desired state out of its text; the new set, or a negative code. */
--- a/src/flow/rch.c
+++ b/src/flow/rch.c
@@ -105,7 +105,8 @@
 {
     const flt_record *record = flt_get(r->n->fleet, member);
     struct sockaddr_in to = rec_address(record);
-    hcl_options opts = {"GET", RCH_NODE_PATH, NULL, 0, RCH_ASK_US};
+    hcl_options opts = {
+        .method = "GET", .path = RCH_NODE_PATH, .timeout_us = RCH_ASK_US};
     rch_question *q = calloc(1, sizeof(*q));
     if (q == NULL) {
         log_write(LOG_ERROR, NULL, "no memory to ask a lost node");
--- a/src/flow/syc.c
+++ b/src/flow/syc.c
@@ -66,7 +66,8 @@
     if (n->fetching) {
         return;
     }
-    hcl_options opts = {"GET", SYC_STATE_PATH, NULL, 0, SYC_TIMEOUT_US};
+    hcl_options opts = {
+        .method = "GET", .path = SYC_STATE_PATH, .timeout_us = SYC_TIMEOUT_US};
     n->fetching =
         hcl_start(NULL, n->pool, n->l, from, &opts, syc_on_state, n) == 0;
 }
@@ -135,7 +136,8 @@
         return;
     }
     s->asked = rec_address(other);
-    hcl_options opts = {"GET", SYC_VERSION_PATH, NULL, 0, SYC_ASK_US};
+    hcl_options opts = {
+        .method = "GET", .path = SYC_VERSION_PATH, .timeout_us = SYC_ASK_US};
     if (hcl_start(NULL, n->pool, n->l, &s->asked, &opts, syc_on_version, s) <
         0) {
         log_write(LOG_WARN, NULL, "%s can't be asked for its version",
--- a/src/http/hcl.c
+++ b/src/http/hcl.c
@@ -14,7 +14,8 @@
     hlp *l;
     hpl *pool;
     hcn *connection;
-    int status;
+    hcl_answer answer;
+    const char *fields[HCL_FIELDS_MAX];
     GByteArray *body;
     hcl_cb done;
     void *payload;
@@ -31,9 +32,10 @@
 hcl_finish(hcl_call *call, enum hcl_result result)
 {
     g_byte_array_append(call->body, (const guint8 *)"", 1);
-    hcl_answer answer = {result, call->status, (const char *)call->body->data,
-                         call->body->len - 1};
-    call->done(&answer, call->payload);
+    call->answer.result = result;
+    call->answer.body = (const char *)call->body->data;
+    call->answer.length = call->body->len - 1;
+    call->done(&call->answer, call->payload);
     hcl_free(call);
 }
 
@@ -42,7 +44,13 @@
 {
     (void)c;
     hcl_call *call = payload;
-    call->status = head->status;
+    call->answer.status = head->status;
+    for (int i = 0; i < HCL_FIELDS_MAX; i++) {
+        if (call->fields[i] != NULL) {
+            htm_copy(call->answer.values[i], HCL_VALUE_SIZE,
+                     htm_get(head, call->fields[i]));
+        }
+    }
     return HCN_ACCEPT;
 }
 
@@ -118,6 +126,7 @@
         return ERR_NO_MEMORY;
     }
     *call = (hcl_call){.l = l, .pool = pool, .done = done, .payload = payload};
+    memcpy(call->fields, opts->fields, sizeof(call->fields));
     call->body = g_byte_array_new();
     hcn *c = hpl_get(pool, to, HCL_FRESH_US);
     if (c == NULL) {
--- a/src/http/hcl.h
+++ b/src/http/hcl.h
@@ -8,6 +8,8 @@
 #include "hpl.h"
 
 #define HCL_BODY_MAX (8 * 1024 * 1024) /* bytes of an answer */
+#define HCL_FIELDS_MAX 2               /* header fields asked for */
+#define HCL_VALUE_SIZE 128             /* bytes of one, with the NUL */
 
 enum hcl_result {
     HCL_ANSWERED,
@@ -20,6 +22,8 @@
     int status;
     const char *body; /* valid during the callback */
     size_t length;
+    /* Of the fields that were asked for; "": absent or too long. */
+    char values[HCL_FIELDS_MAX][HCL_VALUE_SIZE];
 } hcl_answer;
 
 typedef void (*hcl_cb)(const hcl_answer *answer, void *payload);
@@ -32,6 +36,7 @@
     const char *body; /* JSON; NULL: none */
     size_t length;
     int64_t timeout_us;
+    const char *fields[HCL_FIELDS_MAX]; /* of the answer, wanted; or NULL */
 } hcl_options;
 
 int hcl_start(hcl_call **out, hpl *pool, hlp *l, const struct sockaddr_in *to,
--- /dev/null
+++ b/tests/integration/mesh_restart_test.c
@@ -0,0 +1,108 @@
+/* A node starts again beside a target that has lived on. */
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "mesh.h"
+
+#define CALLS 30
+#define CALL_PAUSE_MS 20
+
+TestSuite(mesh_restart, .init = mesh_start, .fini = pfr_stop, .timeout = 60);
+
+static void
+kill_and_start_first(void)
+{
+    pfr_signal_node(1, SIGKILL);
+    cr_expect_neq(pfr_await_node_end(1), -1);
+    pfr_start_node(1);
+}
+
+/* How many of some calls that only the target beside node 1 would serve have
+ * run there. */
+static int
+served_by_first(const char *prefix)
+{
+    int served = 0;
+    for (int i = 0; i < CALLS; i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        pfr_call(&answer, 0, "POST", "/n/shed-at-2", id, "", 0);
+        served += pfr_runs(id);
+        pfr_clear(&answer);
+        pfr_sleep_ms(CALL_PAUSE_MS);
+    }
+    return served;
+}
+
+/* The target took its registration away while the store was out, and the node
+ * that acknowledged it was killed: the store's entry still says that it is
+ * ready.  It does not register any more. */
+Test(mesh_restart, a_target_that_left_in_an_outage_stays_gone)
+{
+    pfr_store_mode(PFR_STORE_BUSY);
+    cr_assert_eq(pfr_leave(1), 200);
+    pfr_target_health(1, 503, "");
+    kill_and_start_first();
+    pfr_store_mode(PFR_STORE_UP);
+    cr_assert(pfr_await_ready(1));
+    pfr_sleep_ms(500);
+    cr_expect_eq(served_by_first("left"), 0);
+}
+
+/* Another process has the address by now. */
+Test(mesh_restart, a_target_under_another_name_is_not_taken_for_the_old_one)
+{
+    pfr_store_mode(PFR_STORE_BUSY);
+    pfr_signal_node(1, SIGKILL);
+    cr_expect_neq(pfr_await_node_end(1), -1);
+    pfr_new_lifetime(1, "someone-else");
+    pfr_start_node(1);
+    pfr_store_mode(PFR_STORE_UP);
+    cr_assert(pfr_await_ready(1));
+    cr_expect_eq(served_by_first("other"), 0);
+    cr_expect_not(pfr_log_has(1, "target_adopted"));
+}
+
+/* A target that says it is well is used before it registers again. */
+Test(mesh_restart, a_target_that_lives_on_is_used_at_once)
+{
+    kill_and_start_first();
+    cr_assert(pfr_await_ready(1));
+    cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
+    cr_expect_gt(served_by_first("lives"), 0);
+}
+
+/* It still runs calls that the killed node handed to it, so it has few slots
+ * left; its next answer says that they are over. */
+Test(mesh_restart, calls_of_the_earlier_start_hold_their_slots)
+{
+    int fds[CALLS];
+    pfr_target_health(1, 200, "36,0,40");
+    kill_and_start_first();
+    cr_assert(pfr_await_ready(1));
+    cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
+    int at_first = 0;
+    for (int i = 0; i < CALLS; i++) {
+        char request[256];
+        int size = snprintf(request, sizeof(request),
+                            "GET /i/hang HTTP/1.1\r\nHost: h.example\r\n"
+                            "Lavenderfield-Attempt-Id: held-%d\r\n\r\n",
+                            i);
+        fds[i] = pfr_connect(0);
+        pfr_send(fds[i], request, (size_t)size);
+    }
+    pfr_sleep_ms(500);
+    for (int i = 0; i < CALLS; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "held-%d", i);
+        at_first += pfr_runs(id) > 0 && pfr_run_node(id) == 1;
+        close(fds[i]);
+    }
+    cr_expect_leq(at_first, 1, "%d", at_first);
+    pfr_target_health(1, 200, "1,0,40");
+    cr_assert(PFR_AWAIT(served_by_first("after") > 0));
+    cr_expect(pfr_log_has(1, "earlier_calls_over"));
+}
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -56,6 +56,7 @@
 void pfr_signal_node(int node, int signal_number);
 int pfr_await_node_end(int node);
 void pfr_target_refuse(int node, bool refuse);
+void pfr_target_health(int node, int status, const char *load);
 int pfr_beat(int node, const char *state, int sequence);
 int pfr_beat_text(int node, const char *instance, const char *text);
 int pfr_leave(int node); /* without having said so before */
--- a/tests/integration/pfr_private.h
+++ b/tests/integration/pfr_private.h
@@ -6,6 +6,7 @@
 #include "pfr.h"
 
 #define PFR_HEAD_MAX 16384
+#define PFR_HEALTH_PATH "/health"
 
 /* One request as a stand-in reads it. */
 typedef struct pfr_request {
--- a/tests/integration/pfr_store.c
+++ b/tests/integration/pfr_store.c
@@ -149,9 +149,11 @@
     snprintf(digits, sizeof(digits), "%08x", version);
     json_t *list = json_loads(routes, 0, NULL);
     json_t *spec = json_pack(
-        "{s:s,s:o,s:[],s:{s:i,s:i,s:s,s:s}}", "version", digits, "routes",
-        list, "services", "limits", "max_header_bytes", 4096, "max_body_bytes",
-        PFR_BODY_MAX, "header_timeout", "2s", "idle_timeout", "15s");
+        "{s:s,s:o,s:[{s:s,s:s},{s:s,s:s}],s:{s:i,s:i,s:s,s:s}}", "version",
+        digits, "routes", list, "services", "name", "near", "health_path",
+        PFR_HEALTH_PATH, "name", "far", "health_path", PFR_HEALTH_PATH,
+        "limits", "max_header_bytes", 4096, "max_body_bytes", PFR_BODY_MAX,
+        "header_timeout", "2s", "idle_timeout", "15s");
     pthread_mutex_lock(&pfr_lock);
     pfr_put("config", "main", spec);
     pthread_mutex_unlock(&pfr_lock);
--- a/tests/integration/pfr_target.c
+++ b/tests/integration/pfr_target.c
@@ -30,7 +30,9 @@
 static GHashTable *pfr_records; /* id -> pfr_record */
 static char pfr_names[PFR_NODES_MAX][64];
 static int64_t
-    pfr_closed_us[PFR_NODES_MAX]; /* nothing from then on; 0: open */
+    pfr_closed_us[PFR_NODES_MAX];         /* nothing from then on; 0: open */
+static int pfr_health[PFR_NODES_MAX];     /* status; 0: 200 */
+static char pfr_loads[PFR_NODES_MAX][32]; /* "": the target tells none */
 static int pfr_late;
 static int pfr_total;
 static int pfr_repeated;
@@ -59,6 +61,8 @@
     pfr_records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                         pfr_free_record);
     memset(pfr_closed_us, 0, sizeof(pfr_closed_us));
+    memset(pfr_health, 0, sizeof(pfr_health));
+    memset(pfr_loads, 0, sizeof(pfr_loads));
     pfr_late = 0;
     pfr_total = 0;
     pfr_repeated = 0;
@@ -75,6 +79,17 @@
     pthread_mutex_unlock(&pfr_lock);
 }
 
+/* What the target beside a node says when it is asked how it is, and the load
+ * that it tells in all its answers. */
+void
+pfr_target_health(int node, int status, const char *load)
+{
+    pthread_mutex_lock(&pfr_lock);
+    pfr_health[node] = status;
+    snprintf(pfr_loads[node], sizeof(pfr_loads[node]), "%s", load);
+    pthread_mutex_unlock(&pfr_lock);
+}
+
 void
 pfr_target_closes(int node, int64_t at_us)
 {
@@ -219,6 +234,33 @@
     }
 }
 
+/* The field that tells the load of the target beside a node, or nothing. */
+static void
+pfr_load_field(char *out, size_t size, int node)
+{
+    pthread_mutex_lock(&pfr_lock);
+    out[0] = '\0';
+    if (pfr_loads[node][0] != '\0') {
+        snprintf(out, size, "Lavenderfield-Instance-Load: %s\r\n",
+                 pfr_loads[node]);
+    }
+    pthread_mutex_unlock(&pfr_lock);
+}
+
+static void
+pfr_tell_health(int fd, const char *name, int node)
+{
+    char headers[256];
+    char load[96];
+    pfr_load_field(load, sizeof(load), node);
+    pthread_mutex_lock(&pfr_lock);
+    int status = pfr_health[node] == 0 ? 200 : pfr_health[node];
+    pthread_mutex_unlock(&pfr_lock);
+    snprintf(headers, sizeof(headers), "Lavenderfield-Instance-Id: %s\r\n%s",
+             name, load);
+    pfr_reply(fd, status, headers, "", 0);
+}
+
 static bool
 pfr_is(const char *mode, const char *word)
 {
@@ -232,10 +274,12 @@
 {
     char headers[512];
     char body[128];
+    char load[96];
+    pfr_load_field(load, sizeof(load), node);
     snprintf(headers, sizeof(headers),
              "Lavenderfield-Attempt-Id: %s\r\n"
-             "Lavenderfield-Response-Seal: seal-of-%s\r\n",
-             id, id);
+             "Lavenderfield-Response-Seal: seal-of-%s\r\n%s",
+             id, id, load);
     snprintf(body, sizeof(body), "answer to %s", id);
     if (pfr_is(mode, "shed")) {
         pfr_note(id, request, node, 0);
@@ -332,6 +376,10 @@
         pthread_mutex_lock(&pfr_lock);
         snprintf(name, sizeof(name), "%s", pfr_names[node]);
         pthread_mutex_unlock(&pfr_lock);
+        if (strcmp(request.path, PFR_HEALTH_PATH) == 0) {
+            pfr_tell_health(fd, name, node);
+            continue;
+        }
         if (strcmp(expected, name) != 0) {
             pfr_note(id, &request, node, 0);
             char headers[128];
--- /dev/null
+++ b/tests/unit/load_test.c
@@ -0,0 +1,74 @@
+/* What targets tell of their load, and what it shows. */
+#include <criterion/criterion.h>
+
+#include "lav/rsd.h"
+
+#define COUNT(list) (sizeof(list) / sizeof((list)[0]))
+
+typedef struct parse_case {
+    const char *text;
+    bool sound;
+    rsd_load load;
+} parse_case;
+
+static const parse_case parse_cases[] = {
+    {"3,0,8", true, {3, 0, 8}},
+    {"0,0,0", true, {0, 0, 0}},
+    {"254,1000000,254", true, {254, 1000000, 254}},
+    {"3, 0, 8", true, {3, 0, 8}},
+    {"", false, {0, 0, 0}},
+    {"3,0", false, {0, 0, 0}},
+    {"3,0,8,1", false, {0, 0, 0}},
+    {"3,0,8x", false, {0, 0, 0}},
+    {"-1,0,8", false, {0, 0, 0}},
+    {"3,-1,8", false, {0, 0, 0}},
+    {"3,0,1000001", false, {0, 0, 0}},
+    {"99999999999999999999,0,8", false, {0, 0, 0}},
+    {"a,b,c", false, {0, 0, 0}},
+};
+
+Test(load, is_read)
+{
+    for (size_t i = 0; i < COUNT(parse_cases); i++) {
+        const parse_case *c = &parse_cases[i];
+        rsd_load load = {7, 7, 7};
+        cr_assert_eq(rsd_load_parse(&load, c->text), c->sound, "%s", c->text);
+        if (!c->sound) {
+            cr_expect(load.running == 7 && load.waiting == 7);
+            continue;
+        }
+        cr_expect_eq(load.running, c->load.running, "%s", c->text);
+        cr_expect_eq(load.waiting, c->load.waiting, "%s", c->text);
+        cr_expect_eq(load.slots, c->load.slots, "%s", c->text);
+    }
+}
+
+typedef struct told_case {
+    rsd_load load;
+    int own;
+    bool changed;
+    int calls; /* of the earlier start, after it */
+} told_case;
+
+/* In turn, after a start at which 5 ran and 1 waited. */
+static const told_case told_cases[] = {
+    {{6, 1, 8}, 1, false, 6}, /* as before, and one of this start */
+    {{8, 3, 8}, 2, false, 6}, /* more than there can be: not raised */
+    {{4, 0, 8}, 1, true, 3},  /* some have ended */
+    {{4, 0, 8}, 1, false, 3}, /* the same news */
+    {{2, 0, 8}, 5, true, 0},  /* own ones are on their way: none is left */
+    {{9, 0, 8}, 1, false, 0}, /* stays so */
+};
+
+Test(load, earlier_calls_end)
+{
+    rsd r = {0};
+    rsd_load at_start = {5, 1, 8};
+    rsd_begin(&r, &at_start);
+    cr_expect_eq(rsd_calls(&r), 6);
+    for (size_t i = 0; i < COUNT(told_cases); i++) {
+        const told_case *c = &told_cases[i];
+        cr_expect_eq(rsd_told(&r, &c->load, c->own), c->changed, "%zu", i);
+        cr_expect_eq(rsd_calls(&r), c->calls, "%zu", i);
+    }
+}
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -1,6 +1,7 @@
 /* Messages from outside, sound ones and others, and random bytes. */
 #include <criterion/criterion.h>
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "pfm_desired.h"
@@ -70,6 +71,47 @@
     }
 }
 
+typedef struct health_case {
+    const char *services;
+    const char *path; /* of "s" */
+} health_case;
+
+/* What can't be used is left out; the routes hold all the same. */
+static const health_case health_cases[] = {
+    {"[{\"name\":\"s\",\"health_path\":\"/up\"}]", "/up"},
+    {"[{\"name\":\"t\",\"health_path\":\"/up\"}]", NULL},
+    {"[{\"name\":\"s\"}]", NULL},
+    {"[{\"name\":\"s\",\"health_path\":5}]", NULL},
+    {"[{\"name\":5,\"health_path\":\"/up\"}]", NULL},
+    {"[{\"name\":\"s\",\"health_path\":\"up\"}]", NULL},
+    {"[{\"name\":\"s\",\"health_path\":\"/a b\"}]", NULL},
+    {"[{\"name\":\"s\",\"health_path\":\"/a\\r\\nX: y\"}]", NULL},
+    {"[5]", NULL},
+    {"{}", NULL},
+    {"null", NULL},
+};
+
+Test(platform, health_paths)
+{
+    for (size_t i = 0; i < COUNT(health_cases); i++) {
+        err e = ERR_INIT;
+        rts *set = NULL;
+        char text[1024];
+        int size = snprintf(text, sizeof(text),
+                            "{\"version\":\"0c\",\"routes\":[" ROUTE
+                            "]," LIMITS ",\"services\":%s}",
+                            health_cases[i].services);
+        cr_assert_eq(pfm_desired_decode(&set, text, (size_t)size, &e), 0);
+        const char *path = rts_health(set, "s");
+        const char *expected = health_cases[i].path;
+        cr_expect(expected == NULL
+                      ? path == NULL
+                      : path != NULL && strcmp(path, expected) == 0,
+                  "case %zu", i);
+        rts_free(set);
+    }
+}
+
 Test(platform, a_kind_that_is_not_idempotent_may_run_once)
 {
     err e = ERR_INIT;
