publisher: what was accepted is handed to some nodes directly

Where an outage begins before any node has read the change, only the publisher holds it, and nobody asked it: it was in force nowhere until the platform was back. Ruled out: a slower or later answer of the publisher (accepted means accepted; waiting for a node first would refuse changes while nodes are busy); the nodes' watches (mended before; they read within 0.1 s, which is not at once). Change: the publisher lists the nodes before it writes, and after acceptance gives the files and then the head to three of them over the nodes' control address (`handover`, MSG_OBJECT in the other direction); a node checks each file against its hash and puts the head in force as if it had fetched it; gossip does the rest. Nothing is handed over that was not accepted; a node that doesn't take it is named on stderr.

--- a/include/lav/msg.h
+++ b/include/lav/msg.h
@@ -34,7 +34,8 @@
     MSG_CANCELLED, /* answer to a cancel */
     MSG_GOSSIP,    /* a probe with news, and its answer */
     MSG_FETCH,     /* an object of the platform that a peer may hold */
-    MSG_OBJECT     /* answer to a fetch */
+    MSG_OBJECT     /* answer to a fetch; or a publisher gives it, and the
+                      version of the answer says that it was taken */
 };
 
 typedef struct msg_body {
--- a/src/node/config/cfs.c
+++ b/src/node/config/cfs.c
@@ -9,13 +9,16 @@
 #include "lav/log.h"
 #include "lav/ver.h"
 
+#define CFS_OFFERED_MAX LAND_SERVICES_MAX /* files of one publication */
+
 struct cfs {
     node *node;
     pthread_mutex_t lock; /* held while a configuration is put in force */
     pthread_mutex_t read; /* held shortly, for the members below */
     ver version;
-    char *head;        /* text of the head in force, or NULL */
-    GHashTable *files; /* hash -> text */
+    char *head;          /* text of the head in force, or NULL */
+    GHashTable *files;   /* hash -> text */
+    GHashTable *offered; /* hash -> text, of a head that is still to come */
 };
 
 typedef struct cfs_loading {
@@ -37,6 +40,7 @@
     pthread_mutex_init(&c->lock, NULL);
     pthread_mutex_init(&c->read, NULL);
     c->files = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
+    c->offered = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
     *out = c;
     return 0;
 }
@@ -47,6 +51,7 @@
 {
     if (c != NULL) {
         g_hash_table_destroy(c->files);
+        g_hash_table_destroy(c->offered);
         free(c->head);
         pthread_mutex_destroy(&c->lock);
         pthread_mutex_destroy(&c->read);
@@ -140,6 +145,52 @@
     return result;
 }
 
+/* A file of a configuration whose head follows.  ERR_INVALID where it isn't
+ * the file of that hash. */
+int
+cfs_offer(cfs *c, const char *hash, const char *text, err *e)
+{
+    char found[CFG_HASH_SIZE];
+    cfg_hash(found, text);
+    if (strcmp(found, hash) != 0) {
+        return ERR_SET(e, ERR_INVALID, "a file of hash %s offered as %s",
+                       found, hash);
+    }
+    pthread_mutex_lock(&c->read);
+    if (g_hash_table_size(c->offered) >= CFS_OFFERED_MAX) {
+        g_hash_table_remove_all(c->offered);
+    }
+    g_hash_table_replace(c->offered, g_strdup(hash), strdup(text));
+    pthread_mutex_unlock(&c->read);
+    return 0;
+}
+
+static int
+cfs_fetch_offered(char **out, const char *hash, err *e, void *payload)
+{
+    cfs *c = payload;
+    pthread_mutex_lock(&c->read);
+    const char *text = g_hash_table_lookup(c->offered, hash);
+    *out = text == NULL ? NULL : strdup(text);
+    pthread_mutex_unlock(&c->read);
+    return *out != NULL
+               ? 0
+               : ERR_SET(e, ERR_NOT_FOUND, "file %s was not offered", hash);
+}
+
+/* Put an accepted head in force whose new files were offered before. */
+int
+cfs_accept(cfs *c, uint64_t version, const char *head, err *e)
+{
+    int result = cfs_apply(c, version, head, cfs_fetch_offered, c, e);
+    if (result == 0) {
+        pthread_mutex_lock(&c->read);
+        g_hash_table_remove_all(c->offered);
+        pthread_mutex_unlock(&c->read);
+    }
+    return result;
+}
+
 /* A copy of the head or of a file by its key on the platform, for a peer;
  * ERR_NOT_FOUND where this node does not hold it. */
 int
--- a/src/node/config/cfs.h
+++ b/src/node/config/cfs.h
@@ -17,6 +17,8 @@
 uint64_t cfs_version(cfs *c);
 int cfs_apply(cfs *c, uint64_t version, const char *head, cfg_fetch_cb fetch,
               void *payload, err *e);
+int cfs_offer(cfs *c, const char *hash, const char *text, err *e);
+int cfs_accept(cfs *c, uint64_t version, const char *head, err *e);
 int cfs_lookup(msg_body *out, uint64_t *out_version, cfs *c, const char *key);
 
 #endif
--- a/src/node/ctl.c
+++ b/src/node/ctl.c
@@ -7,6 +7,7 @@
 #include "cfs.h"
 #include "gsp.h"
 #include "lav/ctr.h"
+#include "lav/log.h"
 #include "srv.h"
 
 #define CTL_SLOTS 128 /* questions at a time */
@@ -54,6 +55,36 @@
     msg_clear(&answer);
 }
 
+/* The publisher hands over a file, or the head, of an accepted configuration;
+ * the answer's version says whether it was taken. */
+static void
+ctl_offered(ctl *c, int slot, const msg_object *object)
+{
+    err e = ERR_INIT;
+    msg answer = {.kind = MSG_OBJECT};
+    size_t prefix = strlen(CFG_FILE_PREFIX);
+    int result = 0;
+    memcpy(answer.object.key, object->key, sizeof(answer.object.key));
+    if (strcmp(object->key, CFG_HEAD_KEY) == 0) {
+        result = cfs_accept(c->node->configs, object->version,
+                            object->body.bytes, &e);
+    }
+    else if (strncmp(object->key, CFG_FILE_PREFIX, prefix) == 0) {
+        result = cfs_offer(c->node->configs, object->key + prefix,
+                           object->body.bytes, &e);
+    }
+    else {
+        result = ERR_SET(&e, ERR_INVALID, "no key of a configuration");
+    }
+    if (result < 0) {
+        ctr_reason(REASON_BAD_MESSAGE);
+        log_write(LOG_WARN, NULL, "configuration from a publisher: %s",
+                  e.message);
+    }
+    answer.object.version = result < 0 ? 0 : object->version;
+    srv_answer(c->server, slot, &answer);
+}
+
 static void
 ctl_asked(int slot, msg *question, void *payload)
 {
@@ -70,6 +101,9 @@
     case MSG_FETCH:
         ctl_fetch(c, slot, question->fetch.key);
         break;
+    case MSG_OBJECT:
+        ctl_offered(c, slot, &question->object);
+        break;
     default:
         ctr_reason(REASON_BAD_MESSAGE);
         srv_answer(c->server, slot, &refusal);
--- a/src/tools/fleet.c
+++ b/src/tools/fleet.c
@@ -15,13 +15,16 @@
 #define FLEET_ANSWER_MAX (4 * 1024 * 1024)
 
 static void
-fleet_add(fleet *out, const char *name, const char *address, int port)
+fleet_add(fleet *out, const char *name, const char *address, int port,
+          int control_port)
 {
     if (out->count == MBR_MAX) {
         return;
     }
     fleet_node *node = &out->nodes[out->count++];
     snprintf(node->name, sizeof(node->name), "%s", name);
+    snprintf(node->address, sizeof(node->address), "%s", address);
+    node->control_port = (uint16_t)control_port;
     snprintf(node->url, sizeof(node->url), "http://%s:%d", address, port);
 }
 
@@ -35,7 +38,8 @@
     int64_t refreshed_ms = 0;
     if (syn_member_parse(&entry, &refreshed_ms, value) == 0 &&
         clk_wall_ms() - refreshed_ms < FLEET_STALE_MS) {
-        fleet_add(payload, entry.name, entry.address, entry.callers_port);
+        fleet_add(payload, entry.name, entry.address, entry.callers_port,
+                  entry.control_port);
     }
     return 0;
 }
@@ -73,7 +77,7 @@
                         &address, "callers_port", &port, "state",
                         &state) == 0 &&
             strcmp(state, "dead") != 0) {
-            fleet_add(out, name, address, port);
+            fleet_add(out, name, address, port, 0);
         }
     }
     json_decref(status);
--- a/src/tools/lav_publish.c
+++ b/src/tools/lav_publish.c
@@ -123,11 +123,18 @@
     uint64_t version = 0;
     options.expect = publish_expect;
     int result = plt_new(&platform, publish_platform, e);
+    fleet *nodes = calloc(1, sizeof(*nodes));
+    err unlisted = ERR_INIT;
+    if (nodes != NULL &&
+        fleet_find(nodes, publish_platform, NULL, &unlisted) == 0) {
+        options.nodes = nodes;
+    }
     if (result == 0) {
         result =
             publisher_publish(&version, platform, files, count, &options, e);
     }
     plt_free(platform);
+    free(nodes);
     if (result < 0) {
         tool_print_error("lav-publish", e);
         return publish_exit(result);
--- a/src/tools/publisher.c
+++ b/src/tools/publisher.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "handover.h"
 #include "lav/clk.h"
 #include "lav/id.h"
 
@@ -145,6 +146,9 @@
     result = plt_put(&p->version, p->platform, CFG_HEAD_KEY, text,
                      strlen(text), p->version, e);
     p->sent = p->sent || result == ERR_UNKNOWN;
+    if (result == 0) {
+        p->present = next;
+    }
     free(text);
     return result;
 }
@@ -183,6 +187,26 @@
     return result;
 }
 
+/* Give what was accepted to some nodes, as the platform may go out before
+ * any has read it. */
+static void
+publisher_hand_over(const publisher *p)
+{
+    char *head = cfg_head_format(&p->present);
+    if (p->options->nodes == NULL || head == NULL) {
+        free(head);
+        return;
+    }
+    handover what = {p->version, head, p->files, p->count};
+    if (handover_give(p->options->nodes, &what) == 0) {
+        fprintf(stderr,
+                "lav-publish: version %" PRIu64 " was handed to no "
+                "node; they get it from the platform\n",
+                p->version);
+    }
+    free(head);
+}
+
 static bool
 publisher_worth_a_try(int result)
 {
@@ -233,6 +257,7 @@
     } while (clk_now_us() < end_us);
     if (result == 0) {
         *out_version = p.version;
+        publisher_hand_over(&p);
     }
     return publisher_give_up(&p, result, e);
 }
--- a/tests/integration/config_test.c
+++ b/tests/integration/config_test.c
@@ -4,7 +4,9 @@
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
+#include "ask.h"
 #include "lav/clk.h"
 #include "lav/nst.h"
 #include "prc.h"
@@ -294,12 +296,87 @@
     check_outage_after_acceptance(true);
 }
 
-/* The platform may be out before any node has it: ctest's config-outage. */
+/* The platform may be out before any node has read it: the publisher hands it
+ * to some of them. */
 Test(config, outage_right_after_acceptance)
 {
     check_outage_after_acceptance(false);
 }
 
+/* No node reaches the platform at all: only the publisher can tell them. */
+Test(config, the_publisher_hands_over_what_was_accepted)
+{
+    static rig r;
+    static watcher w;
+    char path[FLD_PATH_SIZE * 2];
+    rig_start(&r, "pair", "");
+    prx_set(r.platform, PRX_CUT);
+    int64_t before = highest_version(&r);
+    watch_begin(&w, &r);
+    for (int i = 0; i < 3; i++) {
+        make_service(path, sizeof(path), &r, "pay", i, "");
+        cr_expect_eq(publish(&r, path, 5), PUBLISH_OK, "change %d", i);
+        cr_expect_geq(wait_above(&r, before, IN_FORCE_MS), 0, "change %d", i);
+        before = highest_version(&r);
+    }
+    /* What was not accepted is in force nowhere. */
+    make_service(path, sizeof(path), &r, "pay", 9, "nonsense = 1\n");
+    cr_expect_eq(publish(&r, path, 0), PUBLISH_INVALID);
+    rig_sleep_ms(300);
+    cr_expect_eq(highest_version(&r), before);
+    watch_end(&w);
+    rig_stop(&r);
+}
+
+typedef struct offer_case {
+    const char *key;
+    uint64_t version;
+    const char *text;
+} offer_case;
+
+#define NO_HASH "00000000000000000000000000000000"
+
+/* In turn; none may be taken, and nothing may be in force because of it. */
+static const offer_case offer_cases[] = {
+    {"config/file/" NO_HASH, 1000000, "not the text of that hash"},
+    {"config/file/", 1000000, ""},
+    {"config/other", 1000000, "{}"},
+    {"", 1000000, ""},
+    {"config/head", 1000000, ""},
+    {"config/head", 1000000, "[]"},
+    {"config/head", 1000000, "{\"publish\": 5, \"files\": {}}"},
+    {"config/head", 1000000,
+     "{\"publish\": \"" NO_HASH "\", \"files\": {\"pay\": \"" NO_HASH "\"}}"},
+};
+
+/* Messages that claim to hand a configuration over. */
+Test(config, offers_that_are_not_taken)
+{
+    static rig r;
+    rig_start(&r, "pair", "");
+    const fld_instance *one = fld_find(&r.field, "pay", 0);
+    int64_t before = highest_version(&r);
+    for (size_t i = 0; i < sizeof(offer_cases) / sizeof(offer_cases[0]); i++) {
+        const offer_case *c = &offer_cases[i];
+        msg question = {.kind = MSG_OBJECT};
+        msg answer;
+        snprintf(question.object.key, sizeof(question.object.key), "%s",
+                 c->key);
+        question.object.version = c->version;
+        question.object.body.bytes = (char *)c->text;
+        question.object.body.length = strlen(c->text);
+        cr_assert_eq(ask_exchange(&answer, "127.0.0.1",
+                                  (uint16_t)one->control_port, &question, 2000,
+                                  NULL),
+                     0, "case %zu", i);
+        cr_expect_eq(answer.kind, MSG_OBJECT, "case %zu", i);
+        cr_expect_eq(answer.object.version, 0, "case %zu", i);
+        msg_clear(&answer);
+    }
+    cr_expect_eq(highest_version(&r), before);
+    rig_stop(&r);
+}
+
 /* The platform's watches answer with older versions for a while. */
 Test(config, stale_answers_change_nothing)
 {
