lcl, hpl: no more connections to a target than it has slots

Nothing bounded how many, but 256 idle ones for an address: 10,700 connections to 120 targets after three seconds, 226 to one with 40 slots in a test. Targets reset what exceeds their limit, and a reset is an unknown outcome. Ruled out: connections between nodes (8,400, each used) and to the store (340). Change: before a new connection, and when one becomes idle, the oldest idle ones to the target are closed until idle and running ones together are no more than its slots.

--- a/src/flow/lcl_target.c
+++ b/src/flow/lcl_target.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -133,6 +134,14 @@
     }
 }
 
+/* Close idle connections so that there are no more than slots, with those of
+ * `running` calls: targets reset what exceeds their limit. */
+static void
+lcl_trim(const lcl *d, int running)
+{
+    hpl_trim(d->n->pool, &d->at, MAX(0, d->slots - running));
+}
+
 static void
 lcl_on_message(hcn *c, void *payload)
 {
@@ -140,6 +149,7 @@
     lcl *d = call->d;
     call->c = NULL;
     hpl_put(d->n->pool, c, call->ended ? call->keep_us : 0);
+    lcl_trim(d, adm_in_flight(d->admission) - 1);
     if (call->refusal == REASON_WRONG_TARGET) {
         lcl_call_down(call, "another instance has its address");
     }
@@ -196,6 +206,9 @@
         c = hpl_get(d->n->pool, &d->at, LCL_IDLE_US);
     }
     call->kept_connection = c != NULL;
+    if (c == NULL) {
+        lcl_trim(d, adm_in_flight(d->admission));
+    }
     if (c == NULL && hcn_connect(&c, d->n->l, &d->at, LCL_CONNECT_US,
                                  &lcl_handlers, call) < 0) {
         return NULL;
--- a/src/http/hpl.c
+++ b/src/http/hpl.c
@@ -157,6 +157,19 @@
     hcn_expire(c, p->l->now_us + keep_us);
 }
 
+/* Keep at most `most` idle connections to an address, those last used. */
+void
+hpl_trim(hpl *p, const struct sockaddr_in *to, int most)
+{
+    guint64 key = hpl_key(to);
+    GQueue *queue = g_hash_table_lookup(p->queues, &key);
+    while (queue != NULL && queue->length > 0 && (int)queue->length > most) {
+        hpl_entry *entry = queue->tail->data;
+        hcn_close(entry->connection);
+        hpl_remove(entry);
+    }
+}
+
 /* Close the idle connections to an address. */
 void
 hpl_drop(hpl *p, const struct sockaddr_in *to)
--- a/src/http/hpl.h
+++ b/src/http/hpl.h
@@ -16,6 +16,7 @@
 void hpl_free(hpl *p);
 hcn *hpl_get(hpl *p, const struct sockaddr_in *to, int64_t idle_max_us);
 void hpl_put(hpl *p, hcn *c, int64_t keep_us);
+void hpl_trim(hpl *p, const struct sockaddr_in *to, int most);
 void hpl_drop(hpl *p, const struct sockaddr_in *to);
 
 #endif
--- a/tests/integration/mesh_hop_test.c
+++ b/tests/integration/mesh_hop_test.c
@@ -118,3 +118,29 @@
                   "node %d", i);
     }
 }
+
+/* Calls that must not run twice take a new connection each, and those are
+ * kept for others: a target has no more connections than it has slots. */
+Test(mesh_hops, targets_get_no_more_connections_than_slots)
+{
+    for (int i = 0; i < 300; i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "conn-%d", i);
+        pfr_call(&answer, 0, i % 4 == 0 ? "GET" : "POST",
+                 i % 4 == 0 ? "/i/shed-at-2" : "/n/shed-at-2", id, "", 0);
+        cr_expect_eq(answer.status, 200, "%d", answer.status);
+        pfr_clear(&answer);
+    }
+    /* The target may learn of a close a little later; idle connections are
+     * kept for longer than this waits. */
+    int open = 0;
+    for (int i = 0; i < 200; i++) {
+        open = pfr_target_connections(1);
+        if (open <= 40) {
+            break;
+        }
+        pfr_sleep_ms(10);
+    }
+    cr_expect(open > 0 && open <= 40, "%d", open);
+}
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -35,12 +35,13 @@
 /* How a deployment differs from the usual one. */
 typedef struct pfr_options {
     int drain_ms; /* 0: 400 */
-    bool proxied; /* proxies before each node's peers' port and the store */
+    bool proxied; /* proxies before the nodes' peers' ports and the store */
 } pfr_options;
 
 void pfr_start(int nodes, const char *const *services);
 void pfr_start_with(int nodes, const char *const *services,
                     const pfr_options *opts);
+int pfr_proxied_nodes(void);
 prx *pfr_peers_proxy(int node);
 prx *pfr_store_proxy(int node);
 bool pfr_node_lives(int node);
@@ -80,6 +81,7 @@
 int pfr_run_node(const char *id); /* node beside the last, or -1 */
 void pfr_trouble(int permille);   /* of the requests for /x/mix go wrong */
 void pfr_target_closes(int node, int64_t at_us); /* nothing from then on */
+int pfr_target_connections(int node);            /* that are open */
 int pfr_late_arrivals(void);                     /* that came all the same */
 int pfr_all_arrivals(int *repeats); /* at targets; beyond the first of an id */
 bool pfr_cut(const char *id);       /* its connection closed while it ran */
--- a/tests/integration/pfr_target.c
+++ b/tests/integration/pfr_target.c
@@ -33,6 +33,7 @@
     pfr_closed_us[PFR_NODES_MAX];         /* nothing from then on; 0: open */
 static int pfr_health[PFR_NODES_MAX];     /* status; 0: 200 */
 static char pfr_loads[PFR_NODES_MAX][32]; /* "": the target tells none */
+static int pfr_open[PFR_NODES_MAX];       /* connections to a target */
 static int pfr_late;
 static int pfr_total;
 static int pfr_repeated;
@@ -359,10 +360,29 @@
     return !pfr_is(mode, "close");
 }
 
+static void
+pfr_count_open(int node, int change)
+{
+    pthread_mutex_lock(&pfr_lock);
+    pfr_open[node] += change;
+    pthread_mutex_unlock(&pfr_lock);
+}
+
+/* Connections that are open to the target beside a node. */
+int
+pfr_target_connections(int node)
+{
+    pthread_mutex_lock(&pfr_lock);
+    int open = pfr_open[node];
+    pthread_mutex_unlock(&pfr_lock);
+    return open;
+}
+
 void
 pfr_serve_target(int fd, int node)
 {
     pfr_request request;
+    pfr_count_open(node, 1);
     request.body = malloc(PFR_BODY_MAX);
     bool open = true;
     while (open && pfr_read_request(&request, fd)) {
@@ -393,5 +413,6 @@
         pfr_mode_of(mode, sizeof(mode), request.path, id, node);
         open = pfr_answer_to(fd, &request, id, mode, node);
     }
+    pfr_count_open(node, -1);
     free(request.body);
 }
