--- a/tests/integration/pfr.c
+++ b/tests/integration/pfr.c
@@ -95,6 +95,26 @@
     fclose(file);
 }
 
+static void
+pfr_clock_path(char *out, size_t size, int node)
+{
+    snprintf(out, size, "%s/node%d.clock", pfr_folder, node);
+}
+
+/* Let a node's time of day be ahead, or (negative) behind. */
+void
+pfr_set_clock(int node, int64_t ahead_ms)
+{
+    char path[128];
+    pfr_clock_path(path, sizeof(path), node);
+    FILE *file = fopen(path, "w");
+    if (file == NULL || fprintf(file, "%lld\n", (long long)ahead_ms) < 0 ||
+        fclose(file) != 0) {
+        perror(path);
+        abort();
+    }
+}
+
 /* Start a node's process. */
 void
 pfr_start_node(int node)
@@ -106,6 +126,11 @@
     snprintf(path, sizeof(path), "%s/node%d.toml", pfr_folder, node);
     snprintf(log, sizeof(log), "%s/node%d.log", pfr_folder, node);
     setenv("LAVENDERFIELD_BOOT", path, 1);
+    if (pfr_opts.clock != NULL) {
+        pfr_clock_path(path, sizeof(path), node);
+        setenv("JMP_FILE", path, 1);
+        setenv("LD_PRELOAD", pfr_opts.clock, 1);
+    }
     if (prc_start(&pfr_nodes[node].pid, argv, log, &e) < 0) {
         fprintf(stderr, "%s\n", e.message);
         abort();
@@ -172,6 +197,7 @@
         close(k->target_fd);
         *k = (pfr_node){0};
     }
+    unsetenv("LD_PRELOAD");
     shutdown(pfr_store_fd, SHUT_RDWR);
     close(pfr_store_fd);
     pfr_node_count = 0;
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -35,6 +35,7 @@
 /* How a deployment differs from the usual one. */
 typedef struct pfr_options {
     int drain_ms; /* 0: 400 */
+    const char *clock; /* library by which clocks jump; NULL: they don't */
     bool proxied; /* proxies before the nodes' peers' ports and the store */
 } pfr_options;
 
@@ -54,6 +55,7 @@
 bool pfr_store_has(const char *kind, const char *name);
 void pfr_desire(int version, const char *routes);
 void pfr_start_node(int node);
+void pfr_set_clock(int node, int64_t ahead_ms); /* with opts.clock */
 void pfr_signal_node(int node, int signal_number);
 int pfr_await_node_end(int node);
 void pfr_target_refuse(int node, bool refuse);
--- /dev/null
+++ b/tests/soak/jmp.c
@@ -0,0 +1,57 @@
+/* jmp: loaded into a node before the C library, so that the soak can let its
+ * time of day jump: the file that JMP_FILE names holds the milliseconds that
+ * it is ahead.  Steady clocks are left alone. */
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+#define JMP_TEXT_SIZE 32
+#define JMP_MS_PER_S 1000
+#define JMP_NS_PER_MS 1000000L
+#define JMP_NS_PER_S 1000000000L
+
+typedef int (*jmp_gettime)(clockid_t, struct timespec *);
+
+int clock_gettime(clockid_t id, struct timespec *out);
+
+static long long
+jmp_ahead_ms(void)
+{
+    char text[JMP_TEXT_SIZE] = "";
+    const char *path = getenv("JMP_FILE");
+    int fd = path == NULL ? -1 : open(path, O_RDONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return 0;
+    }
+    ssize_t length = read(fd, text, sizeof(text) - 1);
+    close(fd);
+    return length > 0 ? strtoll(text, NULL, 10) : 0;
+}
+
+/* The C library's, with the time of day moved. */
+int
+clock_gettime(clockid_t id, struct timespec *out)
+{
+    static jmp_gettime original;
+    if (original == NULL) {
+        original = (jmp_gettime)dlsym(RTLD_NEXT, "clock_gettime");
+    }
+    int result = original(id, out);
+    if (result != 0 || id != CLOCK_REALTIME) {
+        return result;
+    }
+    long long ahead_ms = jmp_ahead_ms();
+    out->tv_sec += ahead_ms / JMP_MS_PER_S;
+    out->tv_nsec += (long)(ahead_ms % JMP_MS_PER_S) * JMP_NS_PER_MS;
+    if (out->tv_nsec < 0) {
+        out->tv_nsec += JMP_NS_PER_S;
+        out->tv_sec--;
+    }
+    else if (out->tv_nsec >= JMP_NS_PER_S) {
+        out->tv_nsec -= JMP_NS_PER_S;
+        out->tv_sec++;
+    }
+    return 0;
+}
--- a/tests/soak/sok.h
+++ b/tests/soak/sok.h
@@ -30,6 +30,7 @@
     int seconds;
     int callers;  /* for each node */
     bool planned; /* planned work only: then no request may be cut */
+    bool clocks;  /* nodes' times of day jump as well */
     bool timed;   /* answers are held to their time; for a quiet machine */
 } sok_options;
 
--- a/tests/soak/sok_fault.c
+++ b/tests/soak/sok_fault.c
@@ -9,6 +9,8 @@
 #define SOK_STEP_MS 20           /* how exactly faults begin and end */
 #define SOK_ACTIVE_MAX 6         /* faults at a time */
 #define SOK_GAP_MS 250           /* between two beginnings, on average */
+#define SOK_JUMPS_OF 3           /* one fault of so many is a jump */
+#define SOK_JUMP_MS 3600000      /* 1 h, either way, of the time of day */
 #define SOK_TROUBLE_PERMILLE 300 /* of the requests, at targets in trouble */
 
 typedef struct sok_fault sok_fault;
@@ -26,6 +28,7 @@
 struct sok_fault {
     const sok_fault_kind *kind;
     int node;
+    int jump_ms; /* of the time of day */
     int64_t end_us;
 };
 
@@ -205,6 +208,15 @@
     sok_desire(s);
 }
 
+/* By up to an hour, either way; it stays so until the next jump, so that a
+ * start may come before, during or after it. */
+static void
+sok_clock(sok *s, sok_fault *f)
+{
+    (void)s;
+    pfr_set_clock(f->node, f->jump_ms);
+}
+
 static const sok_fault_kind sok_fault_kinds[] = {
     {"stop", true, 5000, 6000, sok_stop, sok_stopped, 0},
     {"settings", true, 50, 100, sok_hup, sok_nothing, 0},
@@ -234,6 +246,8 @@
      PFR_STORE_SILENT},
     {"store's answers lost", false, 500, 4000, sok_store, sok_store_end,
      PFR_STORE_LOST},
+    /* Last, as seeds played without it keep their faults. */
+    {"clock jumps", true, 50, 100, sok_clock, sok_nothing, 0},
 };
 
 /* Whether two faults would undo each other: the same thing, or one that ends
@@ -261,13 +275,21 @@
 sok_begin(sok *s, sok_fault *active, int *count, GRand *random)
 {
     sok_fault f = {0};
+    /* The last kind, the clocks, only where they are to jump, and then often:
+     * it matters together with others. */
+    int others = G_N_ELEMENTS(sok_fault_kinds) - 1;
     do {
-        f.kind = &sok_fault_kinds[g_rand_int_range(
-            random, 0, G_N_ELEMENTS(sok_fault_kinds))];
+        bool jump =
+            s->opts.clocks && g_rand_int_range(random, 0, SOK_JUMPS_OF) == 0;
+        int kind = jump ? others : g_rand_int_range(random, 0, others);
+        f.kind = &sok_fault_kinds[kind];
     } while (s->opts.planned && !f.kind->planned);
     bool proxied = f.kind->end == sok_peers_end || f.kind->start == sok_reset;
     f.node = g_rand_int_range(random, 0,
                               proxied ? pfr_proxied_nodes() : s->opts.nodes);
+    if (f.kind->start == sok_clock) {
+        f.jump_ms = g_rand_int_range(random, -SOK_JUMP_MS, SOK_JUMP_MS);
+    }
     int for_ms = g_rand_int_range(random, f.kind->least_ms, f.kind->most_ms);
     f.end_us = clk_now_us() + (int64_t)for_ms * CLK_US_PER_MS;
     for (int i = 0; i < *count; i++) {
--- a/tests/soak/sok_main.c
+++ b/tests/soak/sok_main.c
@@ -16,6 +16,7 @@
 static int sok_seconds = 8;
 static int sok_callers = 2;
 static gboolean sok_planned;
+static gboolean sok_clocks;
 static gboolean sok_timed;
 static gboolean sok_verbose;
 
@@ -27,6 +28,8 @@
     {"callers", 0, 0, G_OPTION_ARG_INT, &sok_callers, "For each node", "N"},
     {"planned", 0, 0, G_OPTION_ARG_NONE, &sok_planned,
      "Planned work only; every fourth seed is so anyway", NULL},
+    {"clocks", 0, 0, G_OPTION_ARG_NONE, &sok_clocks,
+     "Let nodes' times of day jump as well", NULL},
     {"timed", 0, 0, G_OPTION_ARG_NONE, &sok_timed,
      "Hold answers to their time, on a quiet machine", NULL},
     {"verbose", 0, 0, G_OPTION_ARG_NONE, &sok_verbose, "Faults by kind", NULL},
@@ -49,7 +52,9 @@
 sok_start(sok *s)
 {
     const char *services[PFR_NODES_MAX];
-    pfr_options options = {.drain_ms = SOK_DRAIN_MS, .proxied = true};
+    pfr_options options = {.drain_ms = SOK_DRAIN_MS,
+                           .clock = s->opts.clocks ? SOK_CLOCK : NULL,
+                           .proxied = true};
     for (int i = 0; i < s->opts.nodes; i++) {
         services[i] = i % 3 == 0 ? "near" : "far";
     }
@@ -151,6 +156,7 @@
                             .seconds = sok_seconds,
                             .callers = sok_callers,
                             .planned = sok_planned || seed % 4 == 0,
+                            .clocks = sok_clocks,
                             .timed = sok_timed};
         red += sok_play(&opts) > 0;
     }
