ent, rbw, rpt: shed calls are sent again, repeats of repeats are counted

Requests with ten calls below failed nearly all: 500s after all their work. Change: a request that a target has shed goes to the same target again once it has been to as many as its route allows, up to 8 times, each paid from the budget. `rpt` keeps the share of repeats among the runs beside a node, told with each hop; calls that come out there count as repeats with that probability, which lets a node use nine tenths of its share.

--- a/include/lav/flt.h
+++ b/include/lav/flt.h
@@ -93,6 +93,7 @@
 double flt_share(const flt *f, uint32_t service);
 int flt_other(flt *f, const char *self);
 int flt_pick(flt *f, const flt_choice *choice, int64_t now_us);
+bool flt_serves(const flt *f, int handle, const char *service);
 void flt_sent(flt *f, int handle);
 void flt_done(flt *f, int handle);
 void flt_reported(flt *f, int handle, const flt_report *report,
--- a/src/core/flt.c
+++ b/src/core/flt.c
@@ -225,6 +225,15 @@
            strcmp(m->record.service, service) == 0;
 }
 
+/* Whether the instance there may be sent calls for a service. */
+bool
+flt_serves(const flt *f, int handle, const char *service)
+{
+    return handle >= 0 && handle < f->count &&
+           flt_usable(&f->members[handle], service) &&
+           !f->members[handle].lost;
+}
+
 /* Part of the nodes that stand beside a service, by the hash of its name. */
 double
 flt_share(const flt *f, uint32_t service)
--- a/src/core/rbw.c
+++ b/src/core/rbw.c
@@ -33,12 +33,14 @@
     }
 }
 
-/* A request for the service came to this node. */
+/* A request for the service came to this node; it is a repeat itself with the
+ * probability `repeat`. */
 void
-rbw_request(rbw *b, int64_t now_us)
+rbw_request(rbw *b, double repeat, int64_t now_us)
 {
     rbw_roll(b, now_us);
     b->requests[b->slice % (RBW_SLICES + 1)]++;
+    b->repeats[b->slice % (RBW_SLICES + 1)] += repeat;
 }
 
 /* Whether one more repeat may be sent; it is counted if so. */
--- a/src/flow/att.h
+++ b/src/flow/att.h
@@ -37,6 +37,7 @@
     uint32_t route;  /* key of its route */
     uint32_t origin; /* hash of the service beside the node it came from */
     bool moved;      /* another node has refused it before */
+    double repeat;   /* probability that this attempt is a repeat */
     int64_t arrived_us;
     int64_t deadline_us; /* the caller stops waiting */
     int64_t objective_us;
--- a/src/flow/ent.c
+++ b/src/flow/ent.c
@@ -224,10 +224,12 @@
     r->origin = n->service;
     r->depth = chn_is_inner(n->chains, route->key) ? 1 : 0;
     q->attempts_left = route->attempts_max;
+    q->resend_to = FLT_NONE;
     g_strlcpy(q->service, rts_next_service(route), sizeof(q->service));
     q->choice.service = q->service;
     q->choice.zone = n->settings.zone;
-    rbw_request(nod_budget(n, q->service), n->l->now_us);
+    r->repeat = r->depth > 0 ? rpt_share(n->repeats, n->l->now_us) : 0;
+    rbw_request(nod_budget(n, q->service), r->repeat, n->l->now_us);
     ev_timer_set(&q->deadline, (double)left_us / CLK_US_PER_S, 0.);
     ev_timer_start(n->l->loop, &q->deadline);
 }
--- a/src/flow/ent_answer.c
+++ b/src/flow/ent_answer.c
@@ -7,6 +7,9 @@
 #include "lav/rty.h"
 #include "mtr.h"
 
+#define ENT_SHEDS_MAX                                                         \
+    8 /* a target that sheds half of what it gets takes one of them */
+
 /* Final answer to a request that no attempt has answered; "not run" only
  * where that is true of all its attempts. */
 static void
@@ -52,6 +55,21 @@
     return result;
 }
 
+/* A target that has shed the request may get it again: that is no further
+ * target, and what it sheds is often not for want of slots. */
+static int
+ent_resend_to(ent_request *q, const att_failure *failure)
+{
+    bool shed = failure->reached && failure->outcome == OUTCOME_NOT_RUN &&
+                failure->reason == REASON_TARGET_SHED;
+    if (!shed || q->attempts_left > 0 || q->sheds == ENT_SHEDS_MAX ||
+        !flt_serves(q->n->fleet, failure->member, q->service)) {
+        return FLT_NONE;
+    }
+    q->sheds++;
+    return failure->member;
+}
+
 static enum rty_end
 ent_end_of(const att_failure *failure)
 {
@@ -75,10 +93,12 @@
     if (failure->outcome != OUTCOME_NOT_RUN) {
         q->may_have_run = true;
     }
+    q->resend_to = ent_resend_to(q, failure);
+    bool may_send = q->attempts_left > 0 || q->resend_to != FLT_NONE;
     rty_case c = {.end = ent_end_of(failure),
                   .reason = failure->reason,
                   .idempotent = q->r.idempotent,
-                  .budget = q->attempts_left > 0 ? 1 : 0,
+                  .budget = may_send ? 1 : 0,
                   .reroutes = q->reroutes,
                   .left_us = q->r.deadline_us - now_us};
     if (!att_repeatable(&q->r)) {
@@ -98,6 +118,7 @@
             ctr_reason(REASON_RETRY_BUDGET_SPENT);
             return false;
         }
+        q->r.repeat = 1;
         ctr_reason(failure->outcome == OUTCOME_NOT_RUN
                        ? REASON_RETRY_AFTER_REFUSAL
                        : REASON_RETRY_AFTER_UNKNOWN);
@@ -124,7 +145,9 @@
 ent_try(ent_request *q)
 {
     for (;;) {
-        int member = flt_pick(q->n->fleet, &q->choice, q->n->l->now_us);
+        int member = q->resend_to != FLT_NONE
+                         ? q->resend_to
+                         : flt_pick(q->n->fleet, &q->choice, q->n->l->now_us);
         if (member == FLT_NONE) {
             ent_give_up(q);
             return;
--- a/src/flow/ent_private.h
+++ b/src/flow/ent_private.h
@@ -34,6 +34,8 @@
     ent_attempt attempt;
     int attempts_left; /* more targets that it may be sent to */
     int reroutes;
+    int sheds;     /* times that it was sent again to a target that shed it */
+    int resend_to; /* such a target; FLT_NONE: any */
     bool may_have_run; /* an attempt may have reached a target */
     int last_member;   /* of the fleet, where the last attempt went */
     att_failure last;  /* how the last attempt failed; none yet: no target */
--- a/src/flow/fwd.c
+++ b/src/flow/fwd.c
@@ -236,6 +236,7 @@
                    .route = r->route,
                    .origin = r->origin,
                    .moved = r->moved,
+                   .repeat = r->repeat,
                    .idempotent = r->idempotent};
     g_strlcpy(ask.instance, instance, sizeof(ask.instance));
     if (ask.left_us < 0) {
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -7,7 +7,7 @@
 #include "lav/err.h"
 
 #define HOP_VALUE_SIZE 256 /* bytes of a field's value, with the NUL */
-#define HOP_ASK_ITEMS 12
+#define HOP_ASK_ITEMS 13
 #define HOP_REPLY_ITEMS 13
 #define HOP_PERMILLE 1000
 #define HOP_LIMIT_MAX 1000000        /* calls; more is taken for a fault */
@@ -19,10 +19,11 @@
 {
     hbf_addf(out,
              HOP_FIELD ": %" PRIx64 " %" PRIx64 " %" PRId64 " %" PRId64
-                       " %d %d %d %d %" PRIx32 " %" PRIx32 " %d %s\r\n",
+                       " %d %d %d %d %" PRIx32 " %" PRIx32 " %d %d %s\r\n",
              ask->config_version, ask->nonce, ask->left_us, ask->objective_us,
              ask->priority, ask->peer_port, ask->depth, ask->idempotent,
-             ask->route, ask->origin, ask->moved, ask->instance);
+             ask->route, ask->origin, ask->moved,
+             (int)(ask->repeat * HOP_PERMILLE), ask->instance);
 }
 
 /* Read it; ERR_INVALID where a part is missing or out of range. */
@@ -32,22 +33,25 @@
     char text[HOP_VALUE_SIZE];
     int idempotent = 0;
     int moved = 0;
+    int repeat_permille = 0;
     *out = (hop_ask){0};
     if (!htm_copy(text, sizeof(text), value) ||
         sscanf(text,
                "%" SCNx64 " %" SCNx64 " %" SCNd64 " %" SCNd64
-               " %d %d %d %d %" SCNx32 " %" SCNx32 " %d %95s",
+               " %d %d %d %d %" SCNx32 " %" SCNx32 " %d %d %95s",
                &out->config_version, &out->nonce, &out->left_us,
                &out->objective_us, &out->priority, &out->peer_port,
                &out->depth, &idempotent, &out->route, &out->origin, &moved,
-               out->instance) != HOP_ASK_ITEMS) {
+               &repeat_permille, out->instance) != HOP_ASK_ITEMS) {
         return ERR_INVALID;
     }
     out->idempotent = idempotent == 1;
     out->moved = moved == 1;
+    out->repeat = (double)repeat_permille / HOP_PERMILLE;
     bool sound = out->left_us >= 0 && out->left_us <= HOP_SPAN_MAX_US &&
                  out->objective_us > 0 &&
                  out->objective_us <= HOP_SPAN_MAX_US && out->priority >= 0 &&
+                 repeat_permille >= 0 && repeat_permille <= HOP_PERMILLE &&
                  out->depth >= 0 && out->peer_port > 0 &&
                  out->peer_port <= UINT16_MAX;
     return sound ? 0 : ERR_INVALID;
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -29,6 +29,7 @@
     uint32_t route;  /* key of its route */
     uint32_t origin; /* hash of the service where it came from */
     bool moved;      /* another node has refused it before */
+    double repeat;   /* probability that it is a repeat at the target */
     bool idempotent;
     char instance[FLT_NAME_SIZE]; /* that is to run it */
 } hop_ask;
--- a/src/flow/lcl_target.c
+++ b/src/flow/lcl_target.c
@@ -239,6 +239,7 @@
     }
     hcn_own(call->c, &lcl_handlers, call);
     ctr_add(CTR_DISPATCHED, 1);
+    rpt_run(d->n->repeats, call->r->route, call->r->repeat, d->n->l->now_us);
     lcl_write_head(call);
     lcl_body(call);
     return 0;
--- a/src/flow/nod.c
+++ b/src/flow/nod.c
@@ -56,9 +56,10 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     n->claims = g_hash_table_new(g_int64_hash, g_int64_equal);
     int result = nod_self_init(n, e);
-    if (result == 0 && (hlp_new(&n->l) < 0 || hpl_new(&n->pool, n->l) < 0 ||
-                        flt_new(&n->fleet, nod_random()) < 0 ||
-                        chn_new(&n->chains) < 0 || gat_new(&n->gate) < 0)) {
+    if (result == 0 &&
+        (hlp_new(&n->l) < 0 || hpl_new(&n->pool, n->l) < 0 ||
+         flt_new(&n->fleet, nod_random()) < 0 || chn_new(&n->chains) < 0 ||
+         rpt_new(&n->repeats) < 0 || gat_new(&n->gate) < 0)) {
         result = ERR_SET(e, ERR_IO, "the event loop can't be made");
     }
     if (result < 0) {
@@ -80,6 +81,7 @@
     hlp_free(n->l);
     flt_free(n->fleet);
     chn_free(n->chains);
+    rpt_free(n->repeats);
     gat_free(n->gate);
     rts_free(n->routes);
     g_hash_table_destroy(n->budgets);
--- a/src/flow/nod.h
+++ b/src/flow/nod.h
@@ -17,6 +17,7 @@
 #include "lav/flt.h"
 #include "lav/gat.h"
 #include "lav/rbw.h"
+#include "lav/rpt.h"
 #include "lav/rts.h"
 
 struct lcl;
@@ -58,8 +59,9 @@
     char *routes_text;
     size_t routes_length;
     flt *fleet;
-    chn *chains; /* what is below each route */
-    gat *gate;   /* which requests of callers are begun */
+    chn *chains;  /* what is below each route */
+    rpt *repeats; /* among the runs at the target */
+    gat *gate;    /* which requests of callers are begun */
     flt_record self;
     uint32_t service;    /* hash of the name of the service beside this node */
     int self_handle;     /* in the fleet, or FLT_NONE */
--- a/src/flow/prs.c
+++ b/src/flow/prs.c
@@ -196,6 +196,7 @@
     q->r.route = ask->route;
     q->r.origin = ask->origin;
     q->r.moved = ask->moved;
+    q->r.repeat = ask->repeat;
     return q;
 }
 
--- a/tests/integration/mesh_hop_test.c
+++ b/tests/integration/mesh_hop_test.c
@@ -144,3 +144,20 @@
     }
     cr_expect(open > 0 && open <= 40, "%d", open);
 }
+
+/* Targets that shed what they could run: a request goes to no more of them
+ * than its route allows, but to the same ones again while the budget lasts. */
+Test(mesh_hops, shed_requests_are_sent_again)
+{
+    const char *const paths[] = {"/n/shed-thrice", "/i/shed-thrice"};
+    for (size_t i = 0; i < COUNT(paths); i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "thrice-%zu", i);
+        pfr_call(&answer, 0, "POST", paths[i], id, "", 0);
+        cr_expect_eq(answer.status, 200, "%s: %d", paths[i], answer.status);
+        cr_expect_eq(pfr_arrivals(id), 4, "%d", pfr_arrivals(id));
+        cr_expect_eq(pfr_runs(id), 1);
+        pfr_clear(&answer);
+    }
+}
--- a/tests/integration/pfr_target.c
+++ b/tests/integration/pfr_target.c
@@ -224,6 +224,9 @@
         pfr_mix(out, size, id);
         return;
     }
+    if (strcmp(word, "shed-thrice") == 0) { /* whichever target has it */
+        snprintf(out, size, pfr_arrivals(id) < 3 ? "shed" : "ok");
+    }
     if (strcmp(word, "reset-or-shed") == 0) {
         snprintf(out, size, node == 1 ? "reset" : "shed");
     }
