ret, emu: when refused callers return, with a replay of those who do

Change: the decision is a module of the core (`ret`), used by the node and by the emulator; a kind of an emulation may have `returns` and `patience`; lav-emu prints how many came back. No behaviour of the node changed.

--- /dev/null
+++ b/include/lav/ret.h
@@ -0,0 +1,27 @@
+/*
+ * ret: when a refused caller may come back.
+ *
+ * Load pattern answered: a burst of which a part is refused at once and comes
+ * back together, into the same full queue, while it lasts or just after.
+ */
+#ifndef LAV_RET_H
+#define LAV_RET_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define RET_TOP_PART 4      /* of the objective: back after a quarter */
+#define RET_LEAST_US 100000 /* 0.1 s; shorter ones only add attempts */
+#define RET_AWAY_US 1000000 /* 1 s: by then a restarted node is back */
+
+int64_t ret_top_us(int64_t objective_us, uint64_t random);
+int64_t ret_door_us(double call_us, int waiting, int limit);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/lab/emf.c
+++ b/lab/emf.c
@@ -43,6 +43,8 @@
     int64_t objective_ms;
     int64_t timeout_ms;
     int64_t priority;
+    int64_t returns;
+    int64_t patience_ms;
     tml_strings calls;
 } emf_kind;
 
@@ -91,6 +93,10 @@
      EMF_SPAN_MAX_MS, NULL},
     {"priority", TML_INT, offsetof(emf_kind, priority), true, 0, EMF_COUNT_MAX,
      NULL},
+    {"returns", TML_INT, offsetof(emf_kind, returns), false, 0, EMF_TIMES_MAX,
+     NULL},
+    {"patience", TML_DURATION, offsetof(emf_kind, patience_ms), false, 1,
+     EMF_SPAN_MAX_MS, NULL},
     {"calls", TML_STRINGS, offsetof(emf_kind, calls), false, 0, 0, NULL},
 };
 
@@ -219,7 +225,9 @@
                    .work_us = text.work_ms * EMF_US_PER_MS,
                    .objective_us = text.objective_ms * EMF_US_PER_MS,
                    .timeout_us = text.timeout_ms * EMF_US_PER_MS,
-                   .priority = (int)text.priority};
+                   .priority = (int)text.priority,
+                   .returns = (int)text.returns,
+                   .patience_us = text.patience_ms * EMF_US_PER_MS};
     f->worth[at] = text.worth;
     if (kind->service == EMU_NONE) {
         return emf_fault(loading, table, "service", "no such service", e);
--- a/lab/emu.c
+++ b/lab/emu.c
@@ -5,6 +5,7 @@
 
 #include "emu_private.h"
 #include "lav/clk.h"
+#include "lav/ret.h"
 #include "lav/rty.h"
 
 #define EMU_HOP_US 500      /* one way between nodes */
@@ -12,6 +13,7 @@
 #define EMU_SETTLE_S 2.0    /* after a trouble, not tallied */
 #define EMU_STEP 0.03       /* weight of one call in the mean time */
 #define EMU_SPREAD 0.5      /* of the work, log-normal */
+#define EMU_WAIT_PART 3     /* callers wait for a third of their time left */
 
 /* An event comes after `after_us`. */
 void
@@ -67,6 +69,21 @@
 
 static void emu_child_over(emu *m, emu_job *parent, bool ok);
 
+/* Whether the caller of a refused request comes back; it does so as told, but
+ * for its patience. */
+static bool
+emu_comes_back(emu *m, emu_job *job)
+{
+    const emu_kind *k = &m->opts->kinds[job->kind];
+    int64_t left_us = job->sent_us + k->patience_us - m->now_us;
+    if (job->after_us == 0 || job->returned == k->returns || left_us <= 0) {
+        return false;
+    }
+    emu_push(m, MIN(job->after_us, left_us / EMU_WAIT_PART), EMU_RETURN, job,
+             job->from);
+    return true;
+}
+
 /* A job has its final answer at the node that asked. */
 static void
 emu_finish(emu *m, emu_job *job, bool ok)
@@ -81,9 +98,10 @@
         return;
     }
     emu_tally *t = emu_tally_of(m, job);
-    if (t == NULL) {
+    if (t == NULL || (!ok && emu_comes_back(m, job))) {
         return;
     }
+    t->returned += job->returned > 0;
     int64_t took_us = m->now_us - job->sent_us;
     t->asked++;
     if (ok && took_us <= m->opts->kinds[job->kind].objective_us) {
@@ -359,6 +377,11 @@
         emu_attempt(m, job);
         return;
     }
+    if (!job->ok && job->refusal != REASON_NONE && !job->begun) {
+        const emu_node *at = &m->nodes[job->at];
+        job->after_us = ret_door_us(at->call_us, adm_queued(at->door),
+                                    adm_limit_of(at->door));
+    }
     emu_finish(m, job, job->ok);
 }
 
@@ -381,6 +404,25 @@
     emu_finish(m, job, false);
 }
 
+/* An outside caller's request comes to a node. */
+static void
+emu_enter(emu *m, emu_job *job)
+{
+    const emu_kind *k = &m->opts->kinds[job->kind];
+    emu_node *node = &m->nodes[job->from];
+    bool inner = chn_is_inner(node->chains, emu_hash(job->kind));
+    if (m->opts->gate && !inner &&
+        !gat_admit(node->gate, emu_hash(job->kind), k->priority, m->now_us)) {
+        job->after_us = k->returns == 0 ? 0
+                                        : ret_top_us(k->objective_us,
+                                                     g_rand_int(m->random));
+        emu_finish(m, job, false);
+        return;
+    }
+    emu_push(m, job->deadline_us - m->now_us, EMU_DEADLINE, job, job->from);
+    emu_attempt(m, job);
+}
+
 static void
 emu_arrive(emu *m, int kind)
 {
@@ -392,17 +434,20 @@
     double gap_s = -log(1 - g_rand_double(m->random)) / rate;
     emu_push(m, (int64_t)(gap_s * CLK_US_PER_S), EMU_ARRIVE, NULL, kind);
     int from = g_rand_int_range(m->random, 0, m->node_count);
-    emu_node *node = &m->nodes[from];
-    emu_job *job = emu_job_new(m, kind, from, NULL);
-    bool inner = chn_is_inner(node->chains, emu_hash(kind));
-    if (m->opts->gate && !inner &&
-        !gat_admit(node->gate, emu_hash(kind), k->priority, m->now_us)) {
-        emu_finish(m, job, false);
-    }
-    else {
-        emu_push(m, k->timeout_us, EMU_DEADLINE, job, from);
-        emu_attempt(m, job);
-    }
+    emu_enter(m, emu_job_new(m, kind, from, NULL));
+}
+
+/* The caller of a refused request sends it again. */
+static void
+emu_return(emu *m, const emu_job *refused)
+{
+    const emu_kind *k = &m->opts->kinds[refused->kind];
+    emu_job *job = emu_job_new(m, refused->kind, refused->from, NULL);
+    job->sent_us = refused->sent_us;
+    job->returned = refused->returned + 1;
+    job->deadline_us =
+        MIN(job->deadline_us, refused->sent_us + k->patience_us);
+    emu_enter(m, job);
 }
 
 static void
@@ -444,6 +489,9 @@
     case EMU_DEADLINE:
         emu_deadline(m, event->job);
         break;
+    case EMU_RETURN:
+        emu_return(m, event->job);
+        break;
     case EMU_EXPIRE:
         emu_expire(m, event->node);
         break;
--- a/lab/emu.h
+++ b/lab/emu.h
@@ -36,6 +36,8 @@
     int64_t timeout_us;
     int priority;
     emu_call calls[EMU_CALLS_MAX];
+    int returns;         /* times that a refused caller comes back */
+    int64_t patience_us; /* of a caller that does, in all */
 } emu_kind;
 
 /* From `from_s` on for `for_s`. */
@@ -66,7 +68,8 @@
     int late;
     int refused; /* at the top, nothing was run */
     int failed;
-    int wasted; /* runs for requests that failed */
+    int wasted;   /* runs for requests that failed */
+    int returned; /* refused, and came back once or more */
 } emu_tally;
 
 typedef struct emu_result {
--- a/lab/emu_main.c
+++ b/lab/emu_main.c
@@ -31,26 +31,27 @@
     sum->refused += more->refused;
     sum->failed += more->failed;
     sum->wasted += more->wasted;
+    sum->returned += more->returned;
 }
 
 static void
 emu_print(const char *kind, const char *when, bool gate, const emu_tally *t)
 {
     if (emu_json) {
-        json_t *row =
-            json_pack("{s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:i}", "kind", kind,
-                      "when", when, "gate", gate, "asked", t->asked, "in_time",
-                      t->good, "late", t->late, "refused", t->refused,
-                      "failed", t->failed, "wasted_runs", t->wasted);
+        json_t *row = json_pack(
+            "{s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "kind", kind, "when",
+            when, "gate", gate, "asked", t->asked, "in_time", t->good, "late",
+            t->late, "refused", t->refused, "failed", t->failed, "wasted_runs",
+            t->wasted, "came_back", t->returned);
         char *text = json_dumps(row, JSON_COMPACT);
         puts(text);
         free(text);
         json_decref(row);
         return;
     }
-    printf("%-20s %-7s %-5s %8d %8d %6d %8d %7d %7d\n", kind, when,
+    printf("%-20s %-7s %-5s %8d %8d %6d %8d %7d %7d %9d\n", kind, when,
            gate ? "on" : "off", t->asked, t->good, t->late, t->refused,
-           t->failed, t->wasted);
+           t->failed, t->wasted, t->returned);
 }
 
 /* Play a file's days with the gate on or off, and print them. */
@@ -114,9 +115,11 @@
             return EMU_EXIT_USAGE;
         }
         if (!emu_json) {
-            printf("%s, %d days\n%-20s %-7s %-5s %8s %8s %6s %8s %7s %7s\n",
+            printf("%s, %d days\n"
+                   "%-20s %-7s %-5s %8s %8s %6s %8s %7s %7s %9s\n",
                    file.name, emu_seeds, "kind", "when", "gate", "asked",
-                   "in time", "late", "refused", "failed", "wasted");
+                   "in time", "late", "refused", "failed", "wasted",
+                   "came back");
         }
         if (emu_play(&file, true) < 0 || emu_play(&file, false) < 0) {
             fprintf(stderr, "lav-emu: %s can't be played\n", *path);
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -24,6 +24,7 @@
     EMU_WORKED,   /* a run has done its own work */
     EMU_REPLY,    /* an answer reaches the node that asked */
     EMU_DEADLINE, /* a call's time is over */
+    EMU_RETURN,   /* a caller that was refused comes back */
     EMU_EXPIRE    /* waits at a door are looked at */
 } emu_event_kind;
 
@@ -35,7 +36,9 @@
     int handle; /* at the door */
     int64_t sent_us;
     int64_t deadline_us;
-    int64_t run_us; /* since when it runs; 0: it doesn't */
+    int64_t after_us; /* refused: it may come back then; 0: it isn't */
+    int returned;     /* times that its caller has come back */
+    int64_t run_us;   /* since when it runs; 0: it doesn't */
     int moves;
     bool begun; /* a target has run a part of it */
     bool over;  /* answered or given up */
--- a/src/flow/ent.c
+++ b/src/flow/ent.c
@@ -9,13 +9,12 @@
 #include "lav/clk.h"
 #include "lav/ctr.h"
 #include "lav/log.h"
+#include "lav/ret.h"
 
 #define ENT_TIME_SIZE 24       /* bytes of a number in a field */
 #define ENT_HEAD_MAX 65536     /* bytes, while no limits are known */
 #define ENT_IDLE_US 15000000LL /* 15 s, while no limits are known */
 #define ENT_HEAD_US 5000000LL  /* 5 s, ditto */
-#define ENT_RETURN_PART 4      /* of the objective: back after a quarter */
-#define ENT_AWAY_US 1000000LL  /* 1 s: by then a restarted node is back */
 
 static const hcn_handlers ent_handlers;
 
@@ -234,15 +233,6 @@
     ev_timer_start(n->l->loop, &q->deadline);
 }
 
-/* When a caller that was refused at the top may come back: within its
- * objective, spread, so that those refused together don't return together. */
-static int64_t
-ent_spread_us(int64_t objective_us)
-{
-    int64_t part_us = objective_us / ENT_RETURN_PART;
-    return part_us + (int64_t)(nod_random() % (uint64_t)(part_us + 1));
-}
-
 static enum hcn_verdict
 ent_on_head(hcn *c, const htm *head, void *payload)
 {
@@ -259,14 +249,14 @@
     }
     int status = ent_check(s->n, head, &route, &reason);
     if (status != 0) {
-        q->r.retry_after_us = ENT_AWAY_US;
+        q->r.retry_after_us = RET_AWAY_US;
         ent_own(q, status, reason);
         return HCN_ACCEPT;
     }
     ent_route(q, head, route);
     if (q->r.depth == 0 &&
         !gat_admit(s->n->gate, route->key, route->priority, s->n->l->now_us)) {
-        q->r.retry_after_us = ent_spread_us(q->r.objective_us);
+        q->r.retry_after_us = ret_top_us(q->r.objective_us, nod_random());
         ent_own(q, HTTP_STATUS_SERVICE_UNAVAILABLE, REASON_EARLY_REFUSAL);
         return HCN_ACCEPT;
     }
--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -9,15 +9,15 @@
 #include "lav/clk.h"
 #include "lav/ctr.h"
 #include "lav/log.h"
+#include "lav/ret.h"
 #include "lcl_private.h"
 
-#define LCL_EXPIRY_S 0.01       /* how exactly waits in the queue are ended */
-#define LCL_RECORD_MAX 200000   /* attempts remembered */
-#define LCL_LEAVING_PART 2      /* of the drain time: work is still taken */
-#define LCL_FAILURE_STEP 0.05   /* weight of one call in the failure rate */
-#define LCL_CALL_STEP 0.03      /* weight of one call in the mean time */
-#define LCL_FULL_PART 0.95      /* of the slots: nearly full, some slow down */
-#define LCL_RETRY_MIN_US 100000 /* 0.1 s; shorter ones only add attempts */
+#define LCL_EXPIRY_S 0.01     /* how exactly waits in the queue are ended */
+#define LCL_RECORD_MAX 200000 /* attempts remembered */
+#define LCL_LEAVING_PART 2    /* of the drain time: work is still taken */
+#define LCL_FAILURE_STEP 0.05 /* weight of one call in the failure rate */
+#define LCL_CALL_STEP 0.03    /* weight of one call in the mean time */
+#define LCL_FULL_PART 0.95    /* of the slots: nearly full, some slow down */
 #define LCL_PERMILLE 1000
 
 static void lcl_pump(lcl *d);
@@ -264,16 +264,12 @@
     return chn_strain_of(d->n->chains, route, &own, now_us);
 }
 
-/* When a refused caller is likely to find room: after as long as it takes
- * until what waits here has been served. */
+/* When a caller that is refused here is likely to find room. */
 int64_t
 lcl_retry_after_us(const lcl *d)
 {
-    int limit = adm_limit_of(d->admission);
-    double waves =
-        limit > 0 ? 1 + (double)adm_queued(d->admission) / limit : 1;
-    int64_t after_us = (int64_t)(d->call_us * waves);
-    return after_us < LCL_RETRY_MIN_US ? LCL_RETRY_MIN_US : after_us;
+    return ret_door_us(d->call_us, adm_queued(d->admission),
+                       adm_limit_of(d->admission));
 }
 
 static bool
--- a/tests/unit/emu_test.c
+++ b/tests/unit/emu_test.c
@@ -1,6 +1,7 @@
 /* Replays of loads that the decisions are meant for, in simulated time. */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "emu.h"
 #include "lav/clk.h"
@@ -32,13 +33,13 @@
     {3, 18, {0.5, 1, 1.5}},
 };
 static const emu_kind kinds[] = {
-    {SHOP, 138, 120 * MS, 1500 * MS, 800 * MS, 2, {{ORDER_READ, 1}}},
-    {ORDERS, 45, 160 * MS, 1500 * MS, 1000 * MS, 0, {{FILE_READ, 2}}},
-    {FILES, 36, 84 * MS, 250 * MS, 1000 * MS, 0, {{0, 0}}},
-    {LEDGER, 12, 96 * MS, 300 * MS, 1200 * MS, 2, {{0, 0}}},
-    {ORDERS, 0, 15 * MS, 1000 * MS, 2500 * MS, 1, {{FILE_READ, 1}}},
-    {FILES, 0, 15 * MS, 800 * MS, 2000 * MS, 1, {{LEDGER_READ, 4}}},
-    {LEDGER, 0, 30 * MS, 300 * MS, 700 * MS, 1, {{0, 0}}},
+    {SHOP, 138, 120 * MS, 1500 * MS, 800 * MS, 2, {{ORDER_READ, 1}}, 0, 0},
+    {ORDERS, 45, 160 * MS, 1500 * MS, 1000 * MS, 0, {{FILE_READ, 2}}, 0, 0},
+    {FILES, 36, 84 * MS, 250 * MS, 1000 * MS, 0, {{0, 0}}, 0, 0},
+    {LEDGER, 12, 96 * MS, 300 * MS, 1200 * MS, 2, {{0, 0}}, 0, 0},
+    {ORDERS, 0, 15 * MS, 1000 * MS, 2500 * MS, 1, {{FILE_READ, 1}}, 0, 0},
+    {FILES, 0, 15 * MS, 800 * MS, 2000 * MS, 1, {{LEDGER_READ, 4}}, 0, 0},
+    {LEDGER, 0, 30 * MS, 300 * MS, 700 * MS, 1, {{0, 0}}, 0, 0},
 };
 
 typedef struct replay_case {
@@ -51,6 +52,7 @@
                         * at most, and more requests are served in all */
 } replay_case;
 
+#define SEEDS 8   /* days; one differs from the next by some hundredths */
 #define ALIKE 0.5 /* kinds of one priority: none gets under half of another */
 #define AFTER_LEAST 0.95 /* two seconds after a trouble nearly all is whole */
 
@@ -70,12 +72,13 @@
 };
 
 static emu_result
-play(const emu_trouble *trouble, bool gate, uint64_t seed)
+play_kinds(const emu_trouble *trouble, bool gate, uint64_t seed,
+           const emu_kind *list)
 {
     emu_result result;
     emu_options opts = {.services = services,
                         .service_count = COUNT(services),
-                        .kinds = kinds,
+                        .kinds = list,
                         .kind_count = COUNT(kinds),
                         .trouble = *trouble,
                         .seconds = 25,
@@ -86,6 +89,12 @@
     return result;
 }
 
+static emu_result
+play(const emu_trouble *trouble, bool gate, uint64_t seed)
+{
+    return play_kinds(trouble, gate, seed, kinds);
+}
+
 /* Orders and downloads are worth three of the others. */
 static double
 worth(const emu_tally *tallies)
@@ -144,3 +153,51 @@
         cr_expect_eq(a.during[i].failed, b.during[i].failed);
     }
 }
+
+/* How long callers of a kind wait in all; calls of targets don't come back. */
+static const int64_t patience_us[] = {5000 * MS, 5000 * MS, 1000 * MS,
+                                      1200 * MS};
+
+static int
+returned(const emu_tally *tallies)
+{
+    int all = 0;
+    for (int i = 0; i <= CREDIT; i++) {
+        all += tallies[i].returned;
+    }
+    return all;
+}
+
+/* Refused callers come back once: more of them are served than if they didn't,
+ * and once the trouble is over they keep no overload up. */
+Test(emu, callers_that_come_back)
+{
+    emu_kind coming[COUNT(kinds)];
+    memcpy(coming, kinds, sizeof(kinds));
+    for (size_t i = 0; i < COUNT(patience_us); i++) {
+        coming[i].returns = 1;
+        coming[i].patience_us = patience_us[i];
+    }
+    for (size_t i = 0; i < COUNT(replay_cases); i++) {
+        const replay_case *c = &replay_cases[i];
+        double with = 0;
+        double without = 0;
+        int again = 0;
+        for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+            emu_result back = play_kinds(&c->trouble, true, seed, coming);
+            emu_result gone = play(&c->trouble, true, seed);
+            with += worth(back.during) / SEEDS;
+            without += worth(gone.during) / SEEDS;
+            again += returned(back.during);
+            cr_expect_geq(emu_share(back.after, CREDIT + 1), AFTER_LEAST, "%s",
+                          c->name);
+            cr_expect_eq(returned(gone.during), 0);
+        }
+        fprintf(stderr, "%s: worth %.3f, %d came back; %.3f if they don't\n",
+                c->name, with, again, without);
+        if (c->burst) {
+            cr_expect_gt(again, 0, "%s", c->name);
+            cr_expect_gt(with, without, "%s", c->name);
+        }
+    }
+}
--- a/tests/unit/load_test.c
+++ b/tests/unit/load_test.c
@@ -1,6 +1,7 @@
 /* What targets tell of their load, and what it shows. */
 #include <criterion/criterion.h>
 
+#include "lav/ret.h"
 #include "lav/rsd.h"
 
 #define COUNT(list) (sizeof(list) / sizeof((list)[0]))
@@ -72,3 +73,29 @@
         cr_expect_eq(rsd_calls(&r), c->calls, "%zu", i);
     }
 }
+
+typedef struct return_case {
+    double call_us;
+    int waiting;
+    int limit;
+    int64_t after_us;
+} return_case;
+
+static const return_case return_cases[] = {
+    {200000, 0, 10, 200000},      {200000, 10, 10, 400000},
+    {200000, 5, 10, 300000},      {200000, 100, 0, 200000},
+    {1000, 10, 10, RET_LEAST_US}, {0, 0, 0, RET_LEAST_US},
+};
+
+Test(load, a_refused_caller_returns_when_there_is_room)
+{
+    for (size_t i = 0; i < COUNT(return_cases); i++) {
+        const return_case *c = &return_cases[i];
+        cr_expect_eq(ret_door_us(c->call_us, c->waiting, c->limit),
+                     c->after_us, "%zu", i);
+    }
+    cr_expect_eq(ret_top_us(1000000, 0), 250000);
+    cr_expect_eq(ret_top_us(1000000, 250000), 500000);
+    cr_expect_eq(ret_top_us(1000000, 250001), 250000);
+    cr_expect_eq(ret_top_us(0, 17), 0);
+}
