lcl_log: how far a request had come that was given up

A hung target, a slow one and a full one looked alike. Ruled out: more in the first node's line: it can't know. Change: the node beside the target writes `cancelled` with the time in the target and in the queue, the calls beside it and the limit; bounded like the others.

--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -442,6 +442,7 @@
 {
     lcl *d = call->d;
     ctr_add(CTR_CANCELS, 1);
+    lcl_log_cancel(call);
     if (!call->running) {
         adm_remove(d->admission, call->handle);
         dsp_refuse(d->record, call->nonce);
--- a/src/flow/lcl_log.c
+++ b/src/flow/lcl_log.c
@@ -25,3 +25,25 @@
               (json_int_t)(d->n->l->now_us - r->arrived_us), "left_us",
               (json_int_t)(r->deadline_us - d->n->l->now_us));
 }
+
+/* Say how far a request had come that its caller, or its time, gave up. */
+void
+lcl_log_cancel(const lcl_call *call)
+{
+    const lcl *d = call->d;
+    const att_request *r = call->r;
+    int64_t now_us = d->n->l->now_us;
+    if (!log_due("cancelled", LOG_LINES_PER_S)) {
+        return;
+    }
+    log_event(LOG_INFO, "cancelled", r->id,
+              "{s:s,s:b,s:I,s:I,s:i,s:i,s:i,s:i}", "instance", d->instance,
+              "running", call->running, "in_target_us",
+              (json_int_t)(call->running ? now_us - call->started_us : 0),
+              "waited_us",
+              (json_int_t)((call->running ? call->started_us : now_us) -
+                           r->arrived_us),
+              "beside", adm_in_flight(d->admission), "limit",
+              adm_limit_of(d->admission), "waiting", adm_queued(d->admission),
+              "depth", r->depth);
+}
--- a/src/flow/lcl_private.h
+++ b/src/flow/lcl_private.h
@@ -64,6 +64,7 @@
 void lcl_set_limit(lcl *d);
 void lcl_new_start(lcl *d, const char *instance, int64_t born_ms);
 void lcl_told_load(lcl *d, const htm *head);
+void lcl_log_cancel(const lcl_call *call);
 int lcl_dispatch(lcl_call *call, enum reason *reason);
 void lcl_finish(lcl_call *call, bool failed);
 void lcl_fail(lcl_call *call, enum outcome outcome, enum reason reason,
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -29,6 +29,10 @@
         cr_assert(PFR_AWAIT(pfr_runs(id) == 1));
         close(fd);
         cr_expect(PFR_AWAIT(pfr_cut(id)), "%s", paths[i]);
+        char line[96];
+        snprintf(line, sizeof(line),
+                 "\"event\":\"cancelled\",\"request\":\"%s\"", id);
+        cr_expect(PFR_AWAIT(pfr_log_has(pfr_run_node(id), line)), "%s", id);
     }
 }
 
