--- /dev/null
+++ b/tests/integration/mesh_watch_test.c
@@ -0,0 +1,259 @@
+/* What operators see of the nodes: the metrics page, and the log's events with
+ * the fields that docs/OPERATIONS.md promises. */
+#include <criterion/criterion.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "mesh.h"
+
+#define NODES 3
+#define LINE_SIZE 8192
+#define FIELDS_MAX 12
+
+TestSuite(mesh_watch, .init = mesh_start, .fini = pfr_stop, .timeout = 60);
+
+static int
+call(const char *path, const char *id)
+{
+    pfr_answer answer;
+    pfr_call(&answer, 0, "POST", path, id, "", 0);
+    int status = answer.status;
+    pfr_clear(&answer);
+    return status;
+}
+
+/* The value of a metric with its labels; -1 where the page doesn't have it. */
+static double
+metric(int node, const char *name)
+{
+    pfr_answer page;
+    char line[256];
+    double value = -1;
+    pfr_fetch(&page, pfr_metrics_port(node), "/metrics");
+    cr_assert_eq(page.status, 200);
+    snprintf(line, sizeof(line), "\n%s ", name);
+    page.body[page.length] = '\0';
+    const char *at = strstr(page.body, line);
+    if (at != NULL) {
+        value = strtod(at + strlen(line), NULL);
+    }
+    pfr_clear(&page);
+    return value;
+}
+
+static const char *const metric_names[] = {
+    "lav_target_busy",
+    "lav_target_limit",
+    "lav_requests",
+    "lav_connections",
+    "lav_log_lines_lost",
+    "lav_desired_version",
+    "lav_request_seconds_bucket{le=\"+Inf\"}",
+    "lav_request_seconds_count",
+};
+
+/* All that is documented is there, and moves with what happens. */
+Test(mesh_watch, the_metrics_page)
+{
+    for (size_t i = 0; i < COUNT(metric_names); i++) {
+        cr_expect_geq(metric(0, metric_names[i]), 0, "%s", metric_names[i]);
+    }
+    cr_expect_eq(metric(0, "lav_desired_version"), 1);
+    double before = metric(0, "lav_request_seconds_count");
+    for (int i = 0; i < 10; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "counted-%d", i);
+        cr_expect_eq(call("/n/ok", id), 200);
+    }
+    cr_expect_geq(metric(0, "lav_request_seconds_count"), before + 10);
+    cr_expect_eq(metric(0, "lav_request_seconds_count"),
+                 metric(0, "lav_request_seconds_bucket{le=\"+Inf\"}"));
+    double unknown =
+        metric(0, "lav_reasons_total{reason=\"unknown_operation\"}");
+    cr_expect_eq(call("/none/ok", "nowhere"), 404);
+    cr_expect_gt(metric(0, "lav_reasons_total{reason=\"unknown_operation\"}"),
+                 unknown);
+}
+
+typedef struct event_case {
+    const char *event;
+    bool request; /* it names one */
+    const char *fields[FIELDS_MAX];
+} event_case;
+
+/* Events of lav-platform-node, as docs/OPERATIONS.md lists them. */
+static const event_case events[] = {
+    {"answer",
+     true,
+     {"status", "reason", "service", "waited_us", "left_us", "attempts_left",
+      "moves", "depth", "last_node", "begun_share", "held_back_by",
+      "desired"}},
+    {"attempt",
+     true,
+     {"outcome", "reason", "reached_target", "node", "instance", "after_us"}},
+    {"door",
+     true,
+     {"outcome", "reason", "reached_target", "instance", "state", "running",
+      "limit", "waiting", "demand", "depth", "waited_us", "left_us"}},
+    {"served",
+     true,
+     {"status", "service", "node", "instance", "took_us", "attempts_left",
+      "moves"}},
+    {"target_failed",
+     true,
+     {"status", "service", "node", "instance", "took_us", "attempts_left",
+      "moves"}},
+    {"cancelled",
+     true,
+     {"instance", "running", "in_target_us", "waited_us", "beside", "limit",
+      "waiting"}},
+    {"late_answer", true, {"instance"}},
+    {"answer_rejected", true, {"instance", "why"}},
+    {"desired_state", false, {"version", "was", "routes", "from"}},
+    {"clock_set_back", false, {"incarnation", "earlier"}},
+    {"target_adopted",
+     false,
+     {"instance", "load_told", "running", "waiting", "slots"}},
+    {"target_not_adopted", false, {"instance", "answered_by", "status"}},
+    {"earlier_calls_over", false, {"instance"}},
+    {"member", false, {"node", "instance", "state", "sequence", "from"}},
+    {"self", false, {"instance", "state", "sequence"}},
+    {"target_started", false, {"instance", "was"}},
+    {"target_leaves", false, {"instance", "running"}},
+    {"target_lost", false, {"instance", "why"}},
+    {"store_lost", false, {"kind", "how", "status", "revision"}},
+    {"store_regained", false, {"kind", "revision"}},
+    {"member_lost", false, {"node", "instance"}},
+    {"member_found", false, {"node", "instance"}},
+    {"member_given_up", false, {"node", "instance", "lost_ms"}},
+    {"entry_removal", false, {"status"}},
+    {"started", false, {"service", "zone", "incarnation"}},
+    {"stopping", false, {"requests"}},
+    {"stopped", false, {"requests"}},
+    {"reloaded", false, {"drain_ms", "stop_ms"}},
+    {"left_out", false, {"of", "lines"}},
+    {"message", false, {"message"}},
+};
+
+static int seen[COUNT(events)];
+
+static void
+check_line(const char *text)
+{
+    json_t *line = json_loads(text, 0, NULL);
+    cr_assert(json_is_object(line), "%s", text);
+    const char *event = json_string_value(json_object_get(line, "event"));
+    cr_assert_not_null(event, "%s", text);
+    cr_expect(json_is_integer(json_object_get(line, "ms")), "%s", text);
+    cr_expect(json_is_string(json_object_get(line, "level")), "%s", text);
+    cr_expect(json_is_string(json_object_get(line, "process")), "%s", text);
+    size_t known = 0;
+    while (known < COUNT(events) && strcmp(events[known].event, event) != 0) {
+        known++;
+    }
+    cr_assert_lt(known, COUNT(events), "an event nobody knows: %s", text);
+    const event_case *c = &events[known];
+    cr_expect_eq(json_is_string(json_object_get(line, "request")), c->request,
+                 "%s", text);
+    for (size_t i = 0; i < FIELDS_MAX && c->fields[i] != NULL; i++) {
+        cr_expect_not_null(json_object_get(line, c->fields[i]), "%s in %s",
+                           c->fields[i], text);
+    }
+    seen[known]++;
+    json_decref(line);
+}
+
+static void
+check_logs(void)
+{
+    char line[LINE_SIZE];
+    for (int i = 0; i < NODES; i++) {
+        char path[128];
+        snprintf(path, sizeof(path), "%s/node%d.log", pfr_logs(), i);
+        FILE *file = fopen(path, "r");
+        cr_assert_not_null(file);
+        while (fgets(line, sizeof(line), file) != NULL) {
+            check_line(line);
+        }
+        fclose(file);
+    }
+}
+
+static void
+send_and_leave(const char *path, const char *id)
+{
+    char request[256];
+    int size = snprintf(request, sizeof(request),
+                        "POST %s HTTP/1.1\r\nHost: h.example\r\n"
+                        "Lavenderfield-Attempt-Id: %s\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        path, id);
+    int fd = pfr_connect(0);
+    pfr_send(fd, request, (size_t)size);
+    cr_assert(PFR_AWAIT(pfr_runs(id) == 1));
+    close(fd);
+    cr_assert(PFR_AWAIT(pfr_cut(id)));
+}
+
+/* A deployment to which much happens: each line has its event's fields, and no
+ * event is missing in the table above. */
+Test(mesh_watch, events_carry_what_is_promised)
+{
+    cr_expect_eq(call("/n/ok", "fine"), 200);
+    cr_expect_eq(call("/none/ok", "nowhere"), 404);
+    cr_expect_eq(call("/i/fail", "fails"), 500);
+    call("/i/late", "late");
+    call("/i/extra", "extra");
+    call("/i/ok", "after-extra");
+    call("/n/noseal", "unsealed");
+    call("/n/reset", "lost");
+    send_and_leave("/n/hang", "left");
+    pfr_target_refuse(2, true);
+    for (int i = 0; i < 10; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "refused-%d", i);
+        call("/n/shed-at-1", id);
+    }
+    pfr_target_refuse(2, false);
+    pfr_touch_settings(1);
+    pfr_signal_node(1, SIGHUP);
+    pfr_desire(2, ROUTES);
+    pfr_store_mode(PFR_STORE_BUSY);
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"store_lost\"")));
+    pfr_store_mode(PFR_STORE_UP);
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"store_regained\"")));
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"version\":2")));
+    pfr_signal_node(1, SIGKILL);
+    cr_expect_neq(pfr_await_node_end(1), -1);
+    for (int i = 0; i < 5; i++) {
+        char id[32];
+        snprintf(id, sizeof(id), "gone-%d", i);
+        call("/n/shed-at-2", id);
+    }
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "\"member_lost\"")));
+    pfr_start_node(1);
+    cr_assert(PFR_AWAIT(pfr_log_has(1, "\"target_adopted\"")));
+    cr_assert_eq(pfr_leave(1), 200);
+    pfr_signal_node(1, SIGTERM);
+    cr_expect_eq(pfr_await_node_end(1), 0);
+    check_logs();
+    static const char *const expected[] = {
+        "answer",         "attempt",        "door",        "served",
+        "target_failed",  "cancelled",      "late_answer", "answer_rejected",
+        "desired_state",  "target_adopted", "member",      "self",
+        "target_started", "target_leaves",  "target_lost", "store_lost",
+        "store_regained", "member_lost",    "started",     "stopping",
+        "stopped"};
+    for (size_t i = 0; i < COUNT(expected); i++) {
+        bool found = false;
+        for (size_t j = 0; j < COUNT(events); j++) {
+            found = found ||
+                    (strcmp(events[j].event, expected[i]) == 0 && seen[j] > 0);
+        }
+        cr_expect(found, "no %s", expected[i]);
+    }
+}
--- a/tests/integration/pfr.c
+++ b/tests/integration/pfr.c
@@ -283,6 +283,12 @@
     return found;
 }
 
+int
+pfr_metrics_port(int node)
+{
+    return pfr_nodes[node].ports[PFR_METRICS];
+}
+
 int
 pfr_callers_port(int node)
 {
@@ -334,6 +340,23 @@
     return status;
 }
 
+/* The answer of any port to a GET. */
+void
+pfr_fetch(pfr_answer *out, int port, const char *path)
+{
+    char request[256];
+    int fd = pfr_connect_port(port);
+    *out = (pfr_answer){0};
+    if (fd < 0) {
+        return;
+    }
+    snprintf(request, sizeof(request), "GET %s HTTP/1.1\r\nHost: x\r\n\r\n",
+             path);
+    pfr_send(fd, request, strlen(request));
+    pfr_read_answer(out, fd);
+    close(fd);
+}
+
 int
 pfr_ready_status(int node)
 {
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -68,6 +68,8 @@
 bool pfr_await_ready(int node);
 int pfr_ready_status(int node);
 int pfr_callers_port(int node);
+int pfr_metrics_port(int node);
+void pfr_fetch(pfr_answer *out, int port, const char *path);
 int pfr_peers_port(int node);
 void pfr_touch_settings(int node);
 bool pfr_log_has(int node, const char *text);
