tests: how long until requests are served again, fault by fault

Change: mesh_recovery plays seven faults (a node killed beside callers or target, frozen, replaced with its target, all nodes killed, without the store, right after a change) and prints the time; the platform's bound of 15 s is held.

--- /dev/null
+++ b/tests/integration/mesh_recovery_test.c
@@ -0,0 +1,140 @@
+/* How long until requests are served again, fault by fault.  The time is
+ * printed; what is held is the platform's bound. */
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "lav/clk.h"
+#include "mesh.h"
+
+#define NODES 3
+#define BOUND_MS 15000 /* the platform's `recovery` */
+#define FROZEN_MS 2000
+#define PAUSE_MS 10 /* between two tries */
+#define NEW_ROUTES                                                            \
+    "[" ROUTE("/new/", "idempotent", "5000ms",                                \
+              "far") "," ROUTE("/n/", "non_idempotent", "5000ms", "far") "]"
+
+TestSuite(mesh_recovery, .init = mesh_start, .fini = pfr_stop, .timeout = 60);
+
+static void
+end_node(int node)
+{
+    pfr_signal_node(node, SIGKILL);
+    cr_assert_neq(pfr_await_node_end(node), -1);
+}
+
+static void
+restart_all(void)
+{
+    for (int i = 0; i < NODES; i++) {
+        pfr_signal_node(i, SIGKILL);
+    }
+    for (int i = 0; i < NODES; i++) {
+        cr_assert_neq(pfr_await_node_end(i), -1);
+    }
+    for (int i = 0; i < NODES; i++) {
+        pfr_start_node(i);
+    }
+}
+
+static void
+kill_callers_node(void)
+{
+    end_node(0);
+    pfr_start_node(0);
+}
+
+static void
+kill_targets_node(void)
+{
+    end_node(1);
+    pfr_start_node(1);
+}
+
+static void
+freeze_targets_node(void)
+{
+    pfr_signal_node(1, SIGSTOP);
+    pfr_sleep_ms(FROZEN_MS);
+    pfr_signal_node(1, SIGCONT);
+}
+
+static void
+replace_node_and_target(void)
+{
+    end_node(1);
+    pfr_new_lifetime(1, "i-other");
+    pfr_start_node(1);
+    cr_assert(PFR_AWAIT(pfr_beat(1, "ready", 0) == 200));
+}
+
+/* Targets register again, as they do all the time, once the store is back. */
+static void
+restart_all_without_the_store(void)
+{
+    pfr_store_mode(PFR_STORE_BUSY);
+    restart_all();
+    for (int i = 0; i < NODES; i++) {
+        cr_assert(PFR_AWAIT(pfr_beat(i, "ready", 0) == 200));
+    }
+    pfr_store_mode(PFR_STORE_UP);
+}
+
+static void
+restart_all_after_a_change(void)
+{
+    pfr_desire(2, NEW_ROUTES);
+    restart_all();
+}
+
+typedef struct recovery_case {
+    const char *name;
+    void (*fault)(void); /* returns as what failed may come back */
+    const char *path;    /* of the requests that must be served again */
+} recovery_case;
+
+static const recovery_case cases[] = {
+    {"callers' node killed", kill_callers_node, "/n/ok"},
+    {"the target's node killed", kill_targets_node, "/n/shed-at-2"},
+    {"the target's node frozen for 2 s", freeze_targets_node, "/n/shed-at-2"},
+    {"a node and its target replaced", replace_node_and_target,
+     "/n/shed-at-2"},
+    {"all nodes killed", restart_all, "/n/ok"},
+    {"all nodes killed, the store away until then",
+     restart_all_without_the_store, "/n/ok"},
+    {"all nodes killed right after a change", restart_all_after_a_change,
+     "/new/ok"},
+};
+
+ParameterizedTestParameters(mesh_recovery, served_again)
+{
+    static size_t indexes[COUNT(cases)];
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        indexes[i] = i;
+    }
+    return cr_make_param_array(size_t, indexes, COUNT(cases));
+}
+
+ParameterizedTest(size_t *index, mesh_recovery, served_again)
+{
+    const recovery_case *c = &cases[*index];
+    c->fault();
+    int64_t start_us = clk_now_us();
+    int64_t took_ms = 0;
+    bool served = false;
+    for (int i = 0; !served && took_ms < BOUND_MS; i++) {
+        char id[32];
+        pfr_answer answer;
+        snprintf(id, sizeof(id), "again-%d", i);
+        pfr_call(&answer, 0, "POST", c->path, id, "", 0);
+        served = answer.status == 200;
+        pfr_clear(&answer);
+        took_ms = (clk_now_us() - start_us) / CLK_US_PER_MS;
+        pfr_sleep_ms(served ? 0 : PAUSE_MS);
+    }
+    printf("served again after %lld ms: %s\n", (long long)took_ms, c->name);
+    fflush(stdout);
+    cr_expect(served, "%s", c->name);
+}
