hpl, jmp: lint; one loop that closes idle connections

Cause: clang-tidy took hpl_trim for a use after free (it reads the tail of the queue again after the entry has been removed by its link), and the soak's library declared clock_gettime once more; pfr.h was not formatted. Change: hpl_shrink pops entries from the tail; dropping all is shrinking to none. Behaviour is the same.

--- a/src/flow/lcl_target.c
+++ b/src/flow/lcl_target.c
@@ -1,4 +1,3 @@
-#include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
@@ -139,7 +138,7 @@
 static void
 lcl_trim(const lcl *d, int running)
 {
-    hpl_trim(d->n->pool, &d->at, MAX(0, d->slots - running));
+    hpl_trim(d->n->pool, &d->at, d->slots - running);
 }
 
 static void
--- a/src/http/hpl.c
+++ b/src/http/hpl.c
@@ -84,11 +84,12 @@
     return 0;
 }
 
+/* Close the longest idle ones until `most` are left. */
 static void
-hpl_empty(GQueue *queue)
+hpl_shrink(GQueue *queue, guint most)
 {
-    hpl_entry *entry = NULL;
-    while ((entry = g_queue_pop_head(queue)) != NULL) {
+    while (queue->length > most) {
+        hpl_entry *entry = g_queue_pop_tail(queue);
         hcn_close(entry->connection);
         g_free(entry);
     }
@@ -105,7 +106,7 @@
     gpointer queue = NULL;
     g_hash_table_iter_init(&iter, p->queues);
     while (g_hash_table_iter_next(&iter, NULL, &queue)) {
-        hpl_empty(queue);
+        hpl_shrink(queue, 0);
     }
     g_hash_table_destroy(p->queues);
     free(p);
@@ -163,10 +164,8 @@
 {
     guint64 key = hpl_key(to);
     GQueue *queue = g_hash_table_lookup(p->queues, &key);
-    while (queue != NULL && queue->length > 0 && (int)queue->length > most) {
-        hpl_entry *entry = queue->tail->data;
-        hcn_close(entry->connection);
-        hpl_remove(entry);
+    if (queue != NULL) {
+        hpl_shrink(queue, (guint)MAX(most, 0));
     }
 }
 
@@ -174,9 +173,5 @@
 void
 hpl_drop(hpl *p, const struct sockaddr_in *to)
 {
-    guint64 key = hpl_key(to);
-    GQueue *queue = g_hash_table_lookup(p->queues, &key);
-    if (queue != NULL) {
-        hpl_empty(queue);
-    }
+    hpl_trim(p, to, 0);
 }
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -34,7 +34,7 @@
 
 /* How a deployment differs from the usual one. */
 typedef struct pfr_options {
-    int drain_ms; /* 0: 400 */
+    int drain_ms;      /* 0: 400 */
     const char *clock; /* library by which clocks jump; NULL: they don't */
     bool proxied; /* proxies before the nodes' peers' ports and the store */
 } pfr_options;
--- a/tests/soak/jmp.c
+++ b/tests/soak/jmp.c
@@ -14,8 +14,6 @@
 
 typedef int (*jmp_gettime)(clockid_t, struct timespec *);
 
-int clock_gettime(clockid_t id, struct timespec *out);
-
 static long long
 jmp_ahead_ms(void)
 {
