--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -40,7 +40,7 @@
     for (int64_t now = 0; now < 60000000; now += 1000) {
         bool busy = (now / 5000000) % 2 == 0; /* load by turns */
         if (now % (busy ? 4000 : 200000) == 0) {
-            double repeat = request_count % 50 == 0 ? 1 : 0;
+            double repeat = request_count % 10 == 0 ? 1 : 0;
             rbw_request(&budget, repeat, now);
             requests[request_count++] = now;
             if (repeat > 0) { /* of what called: not this node's choice */
