soak: up to 256 nodes

Change: 256; proxies between nodes take 6,000 descriptors instead of 8,000 at most, as targets and the store of so many need more.

--- a/tests/integration/pfr.c
+++ b/tests/integration/pfr.c
@@ -16,9 +16,9 @@
 #define PFR_PORTS 8      /* of a node, by enum pfr_port */
 #define PFR_DRAIN_MS 400 /* of a target, unless told otherwise */
 /* Descriptors for connections between nodes that pass through proxies here,
- * two each and up to one for each pair of nodes: less than half of the 20,000
+ * two each and up to one for each pair of nodes: a third of the 20,000
  * that a process may have on the machines of the tests. */
-#define PFR_PROXIED_FDS 8000
+#define PFR_PROXIED_FDS 6000
 
 enum pfr_port {
     PFR_CALLERS,
--- a/tests/integration/pfr.h
+++ b/tests/integration/pfr.h
@@ -13,7 +13,7 @@
 
 #include "prx.h"
 
-#define PFR_NODES_MAX 128
+#define PFR_NODES_MAX 256
 #define PFR_BODY_MAX (4 * 1024 * 1024)
 
 /* What the store does with a call. */
--- a/tests/soak/sok_main.c
+++ b/tests/soak/sok_main.c
@@ -23,7 +23,7 @@
 static const GOptionEntry sok_entries[] = {
     {"seed", 0, 0, G_OPTION_ARG_INT, &sok_seed, "First seed", "N"},
     {"seeds", 0, 0, G_OPTION_ARG_INT, &sok_seeds, "Seeds to play", "N"},
-    {"nodes", 0, 0, G_OPTION_ARG_INT, &sok_nodes, "Nodes, 3 to 128", "N"},
+    {"nodes", 0, 0, G_OPTION_ARG_INT, &sok_nodes, "Nodes, 3 to 256", "N"},
     {"seconds", 0, 0, G_OPTION_ARG_INT, &sok_seconds, "Of faults a seed", "S"},
     {"callers", 0, 0, G_OPTION_ARG_INT, &sok_callers, "For each node", "N"},
     {"planned", 0, 0, G_OPTION_ARG_NONE, &sok_planned,
