tests: one place that kills a node and starts it again

Change: mesh_kill_and_start(). No check changed; a node that doesn't end fails the test at once now, where two of them only noted it.

--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -1,6 +1,7 @@
 #include "mesh.h"
 
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 
 #define MESH_PAUSE_MS 50 /* below the rate at which lines are left out */
@@ -50,3 +51,12 @@
     pfr_options proxied = {.proxied = true};
     mesh_start_with(&proxied);
 }
+
+/* A node's process is killed and another one takes its place. */
+void
+mesh_kill_and_start(int node)
+{
+    pfr_signal_node(node, SIGKILL);
+    cr_assert_neq(pfr_await_node_end(node), -1);
+    pfr_start_node(node);
+}
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -23,5 +23,6 @@
 
 void mesh_start(void);
 void mesh_start_proxied(void); /* proxies before peers and the store */
+void mesh_kill_and_start(int node);
 
 #endif
--- a/tests/integration/mesh_fault_test.c
+++ b/tests/integration/mesh_fault_test.c
@@ -75,9 +75,7 @@
 Test(mesh_faults, a_target_leaves_a_node_that_does_not_know_it)
 {
     pfr_store_mode(PFR_STORE_BUSY);
-    pfr_signal_node(1, SIGKILL);
-    cr_expect_neq(pfr_await_node_end(1), -1);
-    pfr_start_node(1);
+    mesh_kill_and_start(1);
     cr_assert(PFR_AWAIT(pfr_leave(1) == 200));
     pfr_store_mode(PFR_STORE_UP);
     cr_assert(pfr_await_ready(1));
@@ -307,9 +305,7 @@
 Test(mesh_faults, a_node_restarts_without_the_store)
 {
     pfr_store_mode(PFR_STORE_BUSY);
-    pfr_signal_node(1, SIGKILL);
-    cr_expect_neq(pfr_await_node_end(1), -1);
-    pfr_start_node(1);
+    mesh_kill_and_start(1);
     cr_assert(PFR_AWAIT(pfr_beat(1, "ready", 0) == 200));
     cr_expect(served_by_first("again"));
     cr_expect(pfr_await_ready(1)); /* by the desired state of a peer */
--- a/tests/integration/mesh_recovery_test.c
+++ b/tests/integration/mesh_recovery_test.c
@@ -18,13 +18,6 @@
 
 TestSuite(mesh_recovery, .init = mesh_start, .fini = pfr_stop, .timeout = 60);
 
-static void
-end_node(int node)
-{
-    pfr_signal_node(node, SIGKILL);
-    cr_assert_neq(pfr_await_node_end(node), -1);
-}
-
 static void
 restart_all(void)
 {
@@ -42,15 +35,13 @@
 static void
 kill_callers_node(void)
 {
-    end_node(0);
-    pfr_start_node(0);
+    mesh_kill_and_start(0);
 }
 
 static void
 kill_targets_node(void)
 {
-    end_node(1);
-    pfr_start_node(1);
+    mesh_kill_and_start(1);
 }
 
 static void
@@ -64,9 +55,8 @@
 static void
 replace_node_and_target(void)
 {
-    end_node(1);
     pfr_new_lifetime(1, "i-other");
-    pfr_start_node(1);
+    mesh_kill_and_start(1);
     cr_assert(PFR_AWAIT(pfr_beat(1, "ready", 0) == 200));
 }
 
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -12,14 +12,6 @@
 
 TestSuite(mesh_restart, .init = mesh_start, .fini = pfr_stop, .timeout = 60);
 
-static void
-kill_and_start_first(void)
-{
-    pfr_signal_node(1, SIGKILL);
-    cr_expect_neq(pfr_await_node_end(1), -1);
-    pfr_start_node(1);
-}
-
 /* How many of some calls that only the target beside node 1 would serve have
  * run there. */
 static int
@@ -46,7 +38,7 @@
     pfr_store_mode(PFR_STORE_BUSY);
     cr_assert_eq(pfr_leave(1), 200);
     pfr_target_health(1, 503, "");
-    kill_and_start_first();
+    mesh_kill_and_start(1);
     pfr_store_mode(PFR_STORE_UP);
     cr_assert(pfr_await_ready(1));
     pfr_sleep_ms(500);
@@ -70,7 +62,7 @@
 /* A target that says it is well is used before it registers again. */
 Test(mesh_restart, a_target_that_lives_on_is_used_at_once)
 {
-    kill_and_start_first();
+    mesh_kill_and_start(1);
     cr_assert(pfr_await_ready(1));
     cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
     cr_expect_gt(served_by_first("lives"), 0);
@@ -82,7 +74,7 @@
 {
     int fds[CALLS];
     pfr_target_health(1, 200, "36,0,40");
-    kill_and_start_first();
+    mesh_kill_and_start(1);
     cr_assert(pfr_await_ready(1));
     cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
     int at_first = 0;
