lcl: another start of a target has all its slots

Cause, found by reading the change: a node that adopts its target takes the calls of its earlier start off the limit. A new start of the target ends them, but the limit was set again only where the number of slots differed: with the same number it stayed as low as it was, down to one, for as long as that target lived. Ruled out: a timer for the residue; it ends with the target. Change: the limit is set at each new start.

--- a/src/flow/lcl.c
+++ b/src/flow/lcl.c
@@ -181,7 +181,7 @@
     }
     d->sequence = beat->sequence;
     d->down = false;
-    if (beat->slots != d->slots) {
+    if (!same || beat->slots != d->slots) {
         d->slots = beat->slots;
         lcl_set_limit(d);
     }
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -68,38 +68,61 @@
     cr_expect_gt(served_by_first("lives"), 0);
 }
 
-/* It still runs calls that the killed node handed to it, so it has few slots
- * left; its next answer says that they are over. */
-Test(mesh_restart, calls_of_the_earlier_start_hold_their_slots)
+/* Send calls that never end, then end them; how many ran beside node 1. */
+static int
+held_at_first(const char *prefix)
 {
     int fds[CALLS];
-    pfr_target_health(1, 200, "36,0,40");
-    mesh_kill_and_start(1);
-    cr_assert(pfr_await_ready(1));
-    cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
     int at_first = 0;
     for (int i = 0; i < CALLS; i++) {
         char request[256];
         int size = snprintf(request, sizeof(request),
                             "GET /i/hang HTTP/1.1\r\nHost: h.example\r\n"
-                            "Lavenderfield-Attempt-Id: held-%d\r\n\r\n",
-                            i);
+                            "Lavenderfield-Attempt-Id: %s-%d\r\n\r\n",
+                            prefix, i);
         fds[i] = pfr_connect(0);
         pfr_send(fds[i], request, (size_t)size);
     }
     pfr_sleep_ms(500);
     for (int i = 0; i < CALLS; i++) {
         char id[32];
-        snprintf(id, sizeof(id), "held-%d", i);
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
         at_first += pfr_runs(id) > 0 && pfr_run_node(id) == 1;
         close(fds[i]);
     }
+    return at_first;
+}
+
+/* It still runs calls that the killed node handed to it, so it has few slots
+ * left; its next answer says that they are over. */
+Test(mesh_restart, calls_of_the_earlier_start_hold_their_slots)
+{
+    pfr_target_health(1, 200, "36,0,40");
+    mesh_kill_and_start(1);
+    cr_assert(pfr_await_ready(1));
+    cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
+    int at_first = held_at_first("held");
     cr_expect_leq(at_first, 1, "%d", at_first);
     pfr_target_health(1, 200, "1,0,40");
     cr_assert(PFR_AWAIT(served_by_first("after") > 0));
     cr_expect(pfr_log_has(1, "earlier_calls_over"));
 }
 
+/* They end with the target: its next start has all its slots. */
+Test(mesh_restart, another_start_of_the_target_has_all_its_slots)
+{
+    pfr_target_health(1, 200, "36,0,40");
+    mesh_kill_and_start(1);
+    cr_assert(pfr_await_ready(1));
+    cr_assert(PFR_AWAIT(pfr_log_has(1, "target_adopted")));
+    pfr_target_health(1, 200, "");
+    pfr_new_lifetime(1, "i-next");
+    cr_assert_eq(pfr_beat(1, "ready", 0), 200);
+    cr_assert(PFR_AWAIT(pfr_log_has(0, "i-next")));
+    int at_first = held_at_first("next");
+    cr_expect_gt(at_first, 1, "%d", at_first);
+}
+
 /* The node's earlier start had a clock that was an hour ahead: what it made
  * known seems newer than all that this start says. */
 Test(mesh_restart, an_earlier_start_with_a_clock_ahead)
