--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -60,9 +60,11 @@
 bool rig_wait_ready(int node, int64_t timeout_ms);
 
 void rig_set_idle_timeout(const char *text);
+void rig_foreign_entry(const char *kind, const char *name, const char *text);
 void rig_publish(int version, const char *routes);
 
 int rig_heartbeat(int node, const char *state, int64_t sequence);
+int rig_foreign_heartbeat(int node, const char *id);
 int rig_deregister(int node);
 void rig_set_heartbeats(int node, bool on);
 void rig_set_leaving(int node, bool leaving);
--- a/review/rig/rig_instance.c
+++ b/review/rig/rig_instance.c
@@ -262,6 +262,29 @@
     return rig_control(node, text);
 }
 
+/* Sends a heartbeat of another writer, whose instance has just started under
+ * another id at the address; returns the status of its answer, 0: none. */
+int
+rig_foreign_heartbeat(int node, const char *id)
+{
+    char body[512];
+    char text[1024];
+    struct timespec now;
+    clock_gettime(CLOCK_REALTIME, &now);
+    int length = snprintf(
+        body, sizeof(body),
+        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"harju-a\","
+        "\"version\":\"v1\",\"concurrency\":58,\"state\":\"ready\","
+        "\"warmup_left\":\"0ms\",\"sequence\":1,\"born\":%lld}",
+        rig_service(node), rig_ip(node), RIG_PORT_INSTANCE,
+        now.tv_sec * 1000LL + now.tv_nsec / 1000000);
+    snprintf(text, sizeof(text),
+             "PUT /api/instances/%s HTTP/1.1\r\nHost: c\r\n"
+             "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+             id, length, body);
+    return rig_control(node, text);
+}
+
 /* Says that the instance is gone; returns the status of the answer. */
 int
 rig_deregister(int node)
--- a/review/rig/rig_store.c
+++ b/review/rig/rig_store.c
@@ -282,6 +282,21 @@
     rig_log("desired state %d acknowledged", version);
 }
 
+/* Writes an object as another writer does. */
+void
+rig_foreign_entry(const char *kind, const char *name, const char *text)
+{
+    json_t *spec = json_loads(text, JSON_ALLOW_NUL, NULL);
+    if (spec == NULL) {
+        rig_end(RIG_EXIT_NOT_RUN, "the entry is no JSON");
+    }
+    pthread_mutex_lock(&rig_store_lock);
+    rig_change_object(rig_find_object(kind, name), spec);
+    pthread_mutex_unlock(&rig_store_lock);
+    json_decref(spec);
+    rig_log("entry %s/%s of another writer: %s", kind, name, text);
+}
+
 void
 rig_store_start(void)
 {
