--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -40,7 +40,6 @@
     char id[64];
     int node;      /* beside the instance */
     int64_t at_ms; /* when the instance got it */
-    bool executed; /* false: the instance stated that it did not run it */
     bool dropped;  /* its connection closed while it ran */
 } rig_run;
 
@@ -59,7 +58,6 @@
 bool rig_node_has_ended(int node);
 bool rig_wait_ready(int node, int64_t timeout_ms);
 
-void rig_set_idle_timeout(const char *text);
 void rig_foreign_entry(const char *kind, const char *name, const char *text);
 void rig_publish(int version, const char *routes);
 
--- a/review/rig/rig_instance.c
+++ b/review/rig/rig_instance.c
@@ -35,9 +35,9 @@
 
 int rig_control(int node, const char *text);
 
-/* Records the arrival of a request; returns the index of the record. */
+/* Records that a request runs; returns the index of the record. */
 static int
-rig_add_run(const char *id, int node, bool executed)
+rig_add_run(const char *id, int node)
 {
     pthread_mutex_lock(&rig_runs_lock);
     int index = rig_run_count++;
@@ -48,7 +48,6 @@
     snprintf(run->id, sizeof(run->id), "%s", id);
     run->node = node;
     run->at_ms = rig_now_ms();
-    run->executed = executed;
     pthread_mutex_unlock(&rig_runs_lock);
     return index;
 }
@@ -60,7 +59,7 @@
     int count = 0;
     pthread_mutex_lock(&rig_runs_lock);
     for (int i = 0; i < rig_run_count && count < max; i++) {
-        if (rig_runs[i].executed && strcmp(rig_runs[i].id, id) == 0) {
+        if (strcmp(rig_runs[i].id, id) == 0) {
             out[count++] = rig_runs[i];
         }
     }
@@ -75,8 +74,7 @@
     int count = 0;
     pthread_mutex_lock(&rig_runs_lock);
     for (int i = 0; i < rig_run_count; i++) {
-        count += rig_runs[i].executed && rig_runs[i].node == node &&
-                 rig_runs[i].at_ms >= at_ms;
+        count += rig_runs[i].node == node && rig_runs[i].at_ms >= at_ms;
     }
     pthread_mutex_unlock(&rig_runs_lock);
     return count;
@@ -184,7 +182,7 @@
     if (size > RIG_ANSWER_MAX || !rig_take_slot(instance, node, id, fd)) {
         return false;
     }
-    int run = rig_add_run(id, node, true);
+    int run = rig_add_run(id, node);
     rig_log("%s runs at the instance of node %d", id, node);
     bool done = rig_work(instance, fd, work_ms);
     rig_release_slot(instance);
--- a/review/rig/rig_store.c
+++ b/review/rig/rig_store.c
@@ -31,7 +31,6 @@
 static rig_change rig_history[RIG_HISTORY_MAX];
 static int rig_change_count;
 static json_int_t rig_revision = 100;
-static const char *rig_idle_timeout = "15000ms";
 
 static rig_object *
 rig_find_object(const char *kind, const char *name)
@@ -234,13 +233,6 @@
     rig_free(&m);
 }
 
-/* Sets the limit on idle requesters in the desired states to come. */
-void
-rig_set_idle_timeout(const char *text)
-{
-    rig_idle_timeout = text;
-}
-
 /* Writes a desired state as the operator does. */
 void
 rig_publish(int version, const char *routes)
@@ -268,8 +260,7 @@
     sprintf(text + length,
             "],\"limits\":{\"max_header_bytes\":16384,"
             "\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\","
-            "\"idle_timeout\":\"%s\"}}",
-            rig_idle_timeout);
+            "\"idle_timeout\":\"15000ms\"}}");
     json_t *spec = json_loads(text, 0, NULL);
     free(text);
     if (spec == NULL) {
