--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -239,6 +240,8 @@
     if (pid == 0) {
         char *const args[] = {RIG_PROGRAM, NULL};
         char *const env[] = {variable, NULL};
+        /* The node ends with the case, should that be killed. */
+        (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (freopen(log, "a", stdout) != NULL) {
             execve(RIG_PROGRAM, args, env);
         }
