tests: harness: what targets send in a file of its own

Heartbeats, removals and the replacement of instances move to harness_instance.c, with harness_format_heartbeat() and harness_deregister() for calls with another id; the sources of mesh-tests and lav-soak are found by pattern. No test changes.

--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -13,39 +13,15 @@
 #include "harness_private.h"
 #include "proc.h"
 
-#define HARNESS_PORTS 8      /* of a node, by enum harness_port */
 #define HARNESS_DRAIN_MS 400 /* default of harness_options.drain_ms */
 /* Descriptors for proxied connections between nodes.  Each connection takes
  * two, and there may be one for each pair of nodes.  The limit is a third of
  * the 20,000 descriptors that a process may open on the test machines. */
 #define HARNESS_PROXIED_FDS 6000
 
-enum harness_port {
-    HARNESS_CALLERS,
-    HARNESS_PEERS,
-    HARNESS_CONTROL,
-    HARNESS_READY,
-    HARNESS_TARGET,
-    HARNESS_METRICS,
-    HARNESS_PEERS_PROXY,
-    HARNESS_STORE_PROXY
-};
-
-typedef struct harness_node {
-    pid_t pid;
-    int ports[HARNESS_PORTS];
-    int target_fd;
-    char service[32];
-    char instance[64];
-    long born;    /* start time that the target reports in heartbeats */
-    int sequence; /* of the last heartbeat */
-    fault_proxy *peers_proxy;
-    fault_proxy *store_proxy;
-} harness_node;
-
 pthread_mutex_t harness_lock = PTHREAD_MUTEX_INITIALIZER;
 
-static harness_node harness_nodes[HARNESS_NODES_MAX];
+harness_node harness_nodes[HARNESS_NODES_MAX];
 static int harness_node_count;
 static int harness_store_port;
 static int harness_store_fd;
@@ -341,7 +317,7 @@
 
 /* Send a request to a port.  Returns the status of the response, or 0 when
  * there was none. */
-static int
+int
 harness_request_status(int port, const char *text)
 {
     int fd = harness_connect_port(port);
@@ -391,79 +367,6 @@
     return HARNESS_WAIT_FOR(harness_ready_status(node) == 200);
 }
 
-/* Send a heartbeat with any body for an instance to the node's control port.
- * Returns the status of the response, or 0 when there was none. */
-int
-harness_send_heartbeat_body(int node, const char *instance, const char *text)
-{
-    char request[2048];
-    snprintf(request, sizeof(request),
-             "PUT /api/instances/%s HTTP/1.1\r\nHost: x\r\n"
-             "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-             instance, strlen(text), text);
-    return harness_request_status(harness_nodes[node].ports[HARNESS_CONTROL],
-                                  request);
-}
-
-/* Send the heartbeat of the target beside a node; `sequence` 0 stands for the
- * next number.  Returns the response status, or 0 when there was none. */
-int
-harness_send_heartbeat(int node, const char *state, int sequence)
-{
-    char text[1024];
-    harness_node *k = &harness_nodes[node];
-    if (sequence == 0) {
-        sequence = ++k->sequence;
-    }
-    snprintf(text, sizeof(text),
-             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\","
-             "\"version\":\"v1\",\"concurrency\":40,\"state\":\"%s\","
-             "\"warmup_left\":\"0ms\",\"sequence\":%d,\"born\":%ld}",
-             k->service, k->ports[HARNESS_TARGET], state, sequence, k->born);
-    return harness_send_heartbeat_body(node, k->instance, text);
-}
-
-/* Delete the registration of the target beside a node.  Returns the status of
- * the response, or 0 when there was none. */
-int
-harness_deregister_target(int node)
-{
-    char request[256];
-    snprintf(request, sizeof(request),
-             "DELETE /api/instances/%s HTTP/1.1\r\nHost: x\r\n\r\n",
-             harness_nodes[node].instance);
-    return harness_request_status(harness_nodes[node].ports[HARNESS_CONTROL],
-                                  request);
-}
-
-/* Replace the target beside a node by an instance whose reported start time is
- * `born_change` from that of the one before. */
-static void
-harness_change_target_instance(int node, const char *instance, int born_change)
-{
-    harness_node *k = &harness_nodes[node];
-    k->born += born_change;
-    k->sequence = 0;
-    snprintf(k->instance, sizeof(k->instance), "%s", instance);
-    harness_set_target_instance(node, instance);
-}
-
-/* Replace the target beside a node by a later instance.  It does not register
- * before harness_send_heartbeat(). */
-void
-harness_replace_instance(int node, const char *instance)
-{
-    harness_change_target_instance(node, instance, 1);
-}
-
-/* The same on a host whose clock was set back: the new instance reports an
- * earlier start time than the one before. */
-void
-harness_replace_instance_clock_back(int node, const char *instance)
-{
-    harness_change_target_instance(node, instance, -1);
-}
-
 /* Send a request of a caller, with a deadline of 5 s, on a new connection to
  * a node and read the response; its status is 0 when the node does not
  * listen. */
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -66,6 +66,9 @@
 int harness_send_heartbeat(int node, const char *state, int sequence);
 int harness_send_heartbeat_body(int node, const char *instance,
                                 const char *text);
+void harness_format_heartbeat(char *out, size_t size, int node,
+                              const char *state, int sequence);
+int harness_deregister(int node, const char *instance);
 int harness_deregister_target(int node);
 void harness_replace_instance(int node, const char *instance);
 void harness_replace_instance_clock_back(int node, const char *instance);
--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -22,6 +22,31 @@
     size_t length;
 } harness_request;
 
+#define HARNESS_PORTS 8 /* of a node, by enum harness_port */
+
+enum harness_port {
+    HARNESS_CALLERS,
+    HARNESS_PEERS,
+    HARNESS_CONTROL,
+    HARNESS_READY,
+    HARNESS_TARGET,
+    HARNESS_METRICS,
+    HARNESS_PEERS_PROXY,
+    HARNESS_STORE_PROXY
+};
+
+typedef struct harness_node {
+    pid_t pid;
+    int ports[HARNESS_PORTS];
+    int target_fd;
+    char service[32];
+    char instance[64];
+    long born;    /* start time that the target reports in heartbeats */
+    int sequence; /* of the last heartbeat */
+    fault_proxy *peers_proxy;
+    fault_proxy *store_proxy;
+} harness_node;
+
 /* Serves one connection until it ends; `index` is that of harness_listen().
  * Does not close the descriptor. */
 typedef void (*harness_serve_cb)(int fd, int index);
@@ -29,6 +54,8 @@
 /* Guards the state of both stand-ins. */
 extern pthread_mutex_t harness_lock;
 
+extern harness_node harness_nodes[HARNESS_NODES_MAX];
+
 int harness_listen(int port, int index, harness_serve_cb serve);
 bool harness_read_request(harness_request *out, int fd);
 bool harness_find_header(char *out, size_t size, const char *head,
@@ -41,5 +68,6 @@
 void harness_target_reset(void);
 void harness_set_target_instance(int node, const char *instance);
 int harness_target_port(int node);
+int harness_request_status(int port, const char *request);
 
 #endif
