--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -119,6 +119,7 @@
 void instance_mark_reachable(instance_table *table, int handle);
 double instance_relative_load(const instance_table *table, int handle,
                               int64_t now_us);
+bool instance_name_is_valid(const char *name);
 const char *instance_state_name(enum instance_state state);
 int instance_state_parse(enum instance_state *out, const char *name);
 
--- a/src/core/instance.c
+++ b/src/core/instance.c
@@ -489,6 +489,26 @@
     instance_clear_failures(&table->entries[handle]);
 }
 
+/* Whether `name` can name a node or an instance: not empty, short enough for a
+ * record, and UTF-8 text without spaces and control characters, so that it can
+ * be part of JSON text, a path and a header field. */
+bool
+instance_name_is_valid(const char *name)
+{
+    size_t length = strlen(name);
+    if (length == 0 || length >= INSTANCE_NAME_SIZE ||
+        !g_utf8_validate(name, (gssize)length, NULL)) {
+        return false;
+    }
+    for (const char *at = name; *at != '\0'; at = g_utf8_next_char(at)) {
+        gunichar character = g_utf8_get_char(at);
+        if (g_unichar_isspace(character) || g_unichar_iscntrl(character)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Returns the name of a state in messages and logs. */
 const char *
 instance_state_name(enum instance_state state)
