node_stop: open requests are answered before the node ends

Cause: half a second before the end of the grace time the event loop was broken, whatever was under way.

Open requests now get an error response at that time. A call that was not sent to the target fails as not run, one that was sent as unknown; for an attempt at another node that must not be repeated, the peer's dispatch record decides. So 503 still is true, and nothing is sent to a target any more. The margin is a twelfth of the grace time, half a second at most.

--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -348,6 +348,30 @@
     }
 }
 
+/* Ends the attempt early, as this node is about to end: it fails at once, or
+ * when the peer has said whether a request that must not be repeated ran. */
+void
+forward_end(forward_attempt *f)
+{
+    if (f->record_query != NULL) {
+        return; /* already asked */
+    }
+    bool connected = f->c != NULL && http_conn_is_connected(f->c);
+    if (f->c != NULL) {
+        http_conn_close(f->c);
+        f->c = NULL;
+    }
+    if (!connected && !f->claimed) {
+        forward_fail(f, OUTCOME_NOT_RUN, REASON_STOPPING, false);
+    }
+    else if (f->claimed || f->response_started || f->r->idempotent) {
+        forward_fail(f, OUTCOME_UNKNOWN, REASON_STOPPING, true);
+    }
+    else {
+        forward_query_record(f);
+    }
+}
+
 /* Cancels the attempt: the peer sees the connection close.  No callback
  * follows. */
 void
--- a/src/flow/forward.h
+++ b/src/flow/forward.h
@@ -21,6 +21,7 @@
                   void *payload);
 void forward_send_body(forward_attempt *f);
 void forward_pause_response(forward_attempt *f, bool paused);
+void forward_end(forward_attempt *f);
 void forward_cancel(forward_attempt *f);
 
 #endif
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -73,6 +73,7 @@
 {
     ev_timer_stop(q->n->l->loop, &q->deadline);
     q->n->requests--;
+    g_queue_unlink(&q->n->caller_requests, &q->link);
     attempt_request_clear(&q->r);
     bytebuf_clear(&q->fields);
     bytebuf_clear(&q->buffered);
@@ -206,6 +207,8 @@
     q->s = s;
     s->request = q;
     n->requests++;
+    q->link.data = q;
+    g_queue_push_tail_link(&n->caller_requests, &q->link);
     counter_add(COUNTER_CALLS_IN, 1);
     http_str_copy(q->r.id, sizeof(q->r.id),
                   http_head_get_field(head, n->header_names->request_id));
--- a/src/flow/frontend.h
+++ b/src/flow/frontend.h
@@ -10,5 +10,7 @@
 #include "runtime.h"
 
 void frontend_accept(int fd, const struct sockaddr_in *from, void *payload);
+void frontend_end_attempts(runtime *n);
+void frontend_end_requests(runtime *n);
 
 #endif
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -104,6 +104,9 @@
     if (failure->outcome != OUTCOME_NOT_RUN) {
         q->may_have_run = true;
     }
+    if (q->n->ending) {
+        return false;
+    }
     q->resend_to = frontend_resend_target(q, failure);
     bool may_send = q->attempts_left > 0 || q->resend_to != INSTANCE_NONE;
     retry_failure input = {.end = frontend_classify_failure(failure),
--- a/src/flow/frontend_private.h
+++ b/src/flow/frontend_private.h
@@ -34,6 +34,7 @@
 typedef struct frontend_request {
     runtime *n;
     server_conn *s;
+    GList link; /* in runtime.caller_requests */
     attempt_request r;
     char service[SVC_NAME_SIZE];
     instance_query query;
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -427,6 +427,9 @@
 local_target_dispatch_queued(local_target *t)
 {
     int handle = 0;
+    if (t->n->ending) {
+        return;
+    }
     while (admission_pop(&handle, t->admission, t->n->l->now_us)) {
         local_target_call *call = t->calls[handle];
         enum reason reason = REASON_NONE;
@@ -503,6 +506,26 @@
     local_target_dispatch_queued(t);
 }
 
+/* Fails the calls whose response has not begun, as this node is about to end.
+ * Those that were not sent have not run. */
+void
+local_target_end_calls(local_target *t)
+{
+    for (int i = 0; i < LOCAL_TARGET_CALLS_MAX; i++) {
+        local_target_call *call = t->calls[i];
+        if (call == NULL || call->response_started) {
+            continue;
+        }
+        bool sent = call->running && call->c != NULL &&
+                    http_conn_is_connected(call->c);
+        if (!call->running) {
+            admission_remove(t->admission, call->handle);
+        }
+        local_target_fail_call(call, sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+                               REASON_STOPPING, sent);
+    }
+}
+
 /* Revokes an attempt: if it has not been dispatched to the target, it is
  * refused from now on.  Returns whether it has not run and never will. */
 bool
--- /dev/null
+++ b/src/flow/node_stop.c
@@ -0,0 +1,66 @@
+#include "node_stop.h"
+
+#include <jansson.h>
+
+#include "frontend.h"
+#include "lav/clock.h"
+#include "lav/log.h"
+#include "local_target.h"
+
+/* 2.5 s, in which the platform probes readiness at least twice. */
+#define NODE_STOP_LINGER_US 2500000
+
+/* Before the end of the grace time, open requests are ended: half a second, or
+ * this part of a short grace time. */
+#define NODE_STOP_MARGIN_MAX_US 500000
+#define NODE_STOP_MARGIN_DIVISOR 12
+
+/* Parts of the margin left when peers have had their time to say whether a
+ * request has run, and when the process ends whatever is not written yet. */
+#define NODE_STOP_QUERY_DIVISOR 2
+#define NODE_STOP_EXIT_DIVISOR 5
+
+/* Begins a planned stop; no effect if it has begun already.  The node serves on
+ * meanwhile; its entry is deleted at once if the target is unavailable. */
+void
+node_stop_begin(runtime *n)
+{
+    if (n->stopping) {
+        return;
+    }
+    bool unavailable = local_target_is_unavailable(n->local);
+    log_event(LOG_INFO, "stopping", NULL, "{s:i,s:b}", "requests", n->requests,
+              "target_left", unavailable);
+    n->stopping = true;
+    n->stop_us = n->l->now_us;
+    if (unavailable && n->announce != NULL) {
+        n->announce(&n->self, true, n->callback_payload);
+    }
+}
+
+/* Advances a planned stop; called periodically.  Returns whether the process
+ * should end now. */
+bool
+node_stop_advance(runtime *n)
+{
+    int64_t grace_us = n->settings.stop_grace_ms * CLOCK_US_PER_MS;
+    int64_t margin_us =
+        MIN(NODE_STOP_MARGIN_MAX_US, grace_us / NODE_STOP_MARGIN_DIVISOR);
+    int64_t left_us = grace_us - (n->l->now_us - n->stop_us);
+    n->closed = n->closed || left_us <= margin_us ||
+                n->l->now_us - n->stop_us >= NODE_STOP_LINGER_US;
+    if (left_us <= margin_us && !n->ending) {
+        n->ending = true;
+        local_target_end_calls(n->local);
+        frontend_end_attempts(n);
+    }
+    if (left_us <= margin_us / NODE_STOP_QUERY_DIVISOR) {
+        frontend_end_requests(n);
+    }
+    bool done = n->closed && n->requests == 0;
+    if (done || left_us <= margin_us / NODE_STOP_EXIT_DIVISOR) {
+        log_event(LOG_INFO, "stopped", NULL, "{s:i}", "requests", n->requests);
+        return true;
+    }
+    return false;
+}
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -74,8 +74,10 @@
     bool state_fetch_pending;   /* a peer's state is being fetched */
     int64_t last_peer_contact_us; /* when a peer last reported its version */
     int requests;                 /* of callers and peers, in progress */
+    GQueue caller_requests;       /* frontend_request, without a response */
     bool stopping;                /* not ready, but still serves */
     bool closed;                  /* accepts no new requests */
+    bool ending;                  /* starts no further attempts */
     int64_t stop_us;              /* when stopping began */
 } runtime;
 
