node_stop: the node ends when its responses are written

Cause: a request is done when its response is queued, and the process ended once no request was open; what the connection had not written yet was dropped. Ruled out: the instances, which had answered in 50 ms, and the kill, which would have come 2 s later.

The stop now also waits for the output of all server connections, until a fifth of the margin is left.

--- a/src/flow/node_stop.c
+++ b/src/flow/node_stop.c
@@ -57,7 +57,8 @@
     if (left_us <= margin_us / NODE_STOP_QUERY_DIVISOR) {
         frontend_end_requests(n);
     }
-    bool done = n->closed && n->requests == 0;
+    bool done = n->closed && n->requests == 0 &&
+                !http_conn_is_any_response_queued(n->l);
     if (done || left_us <= margin_us / NODE_STOP_EXIT_DIVISOR) {
         log_event(LOG_INFO, "stopped", NULL, "{s:i}", "requests", n->requests);
         return true;
--- a/src/http/http_conn.c
+++ b/src/http/http_conn.c
@@ -260,6 +260,19 @@
     return bytebuf_length(&c->out);
 }
 
+/* Return whether a server connection of the loop has output that the kernel
+ * has not accepted yet. */
+bool
+http_conn_is_any_response_queued(const evloop *l)
+{
+    for (const http_conn *c = l->connections; c != NULL; c = c->next) {
+        if (c->parser.type == HTTP_REQUEST && http_conn_queued_bytes(c) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Close in order once all output is written; on_close(HTTP_CONN_EOF) is
  * called then. */
 void
--- a/src/http/http_conn.h
+++ b/src/http/http_conn.h
@@ -87,6 +87,7 @@
                           const char *bytes, size_t length);
 void http_conn_end_body(http_conn *c, enum http_conn_framing framing);
 size_t http_conn_queued_bytes(const http_conn *c);
+bool http_conn_is_any_response_queued(const evloop *l);
 void http_conn_close_after_flush(http_conn *c);
 void http_conn_flush_before_close(http_conn *c);
 bool http_conn_is_connected(const http_conn *c);
--- a/tests/integration/mesh_stop_test.c
+++ b/tests/integration/mesh_stop_test.c
@@ -3,14 +3,27 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <unistd.h>
 
+#include "lav/clock.h"
 #include "mesh.h"
 
 #define SLOTS 40 /* of a target */
 #define TARGETS 2
 
+/* A response that outlasts the kernel's buffers, read within the grace time of
+ * 5 s but not before the node has closed to new requests. */
+#define LARGE_BODY_BYTES 950000
+#define SLOW_BYTES_PER_S 250000
+#define SLOW_READ_BYTES 2000
+#define SLOW_RECEIVE_BUFFER_BYTES 2048
+#define SLOW_SEGMENT_BYTES 1400 /* as on an Ethernet link */
+
 TestSuite(mesh_stop, .init = mesh_start, .fini = harness_stop, .timeout = 60);
 
 /* Send a request on a new connection and don't wait for its response. */
@@ -94,3 +107,72 @@
     cr_expect_gt(refused, 0);
     cr_expect_eq(harness_wait_node_exit(0), 0);
 }
+
+/* Connect to a node with small buffers, so that little of a response fits into
+ * the kernel. */
+static int
+connect_slow(int node)
+{
+    int size = SLOW_RECEIVE_BUFFER_BYTES;
+    int segment = SLOW_SEGMENT_BYTES;
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+                             .sin_port =
+                                 htons((uint16_t)harness_callers_port(node))};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+    cr_assert_eq(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+    return fd;
+}
+
+/* Read a response at SLOW_BYTES_PER_S until its connection ends; returns the
+ * size of its body. */
+static size_t
+read_body_slowly(int fd)
+{
+    char bytes[SLOW_READ_BYTES + 1];
+    size_t total = 0;
+    size_t head = 0;
+    ssize_t got = 0;
+    int64_t start_us = clock_now_us();
+    while ((got = recv(fd, bytes, SLOW_READ_BYTES, 0)) > 0) {
+        bytes[got] = '\0';
+        if (total == 0) { /* the head comes at once */
+            const char *end = strstr(bytes, "\r\n\r\n");
+            cr_assert_not_null(end);
+            head = (size_t)(end + strlen("\r\n\r\n") - bytes);
+        }
+        total += (size_t)got;
+        int64_t due_us =
+            start_us + (int64_t)total * CLOCK_US_PER_S / SLOW_BYTES_PER_S;
+        int64_t now_us = clock_now_us();
+        if (due_us > now_us) {
+            clock_sleep_us(due_us - now_us);
+        }
+    }
+    return total - head;
+}
+
+/* The process ended when the last response was queued, and cut off what its
+ * caller had not read yet. */
+Test(mesh_stop, responses_that_are_read_slowly)
+{
+    char head[256];
+    char *body = calloc(1, LARGE_BODY_BYTES);
+    int fd = connect_slow(0);
+    int size = snprintf(head, sizeof(head),
+                        "POST /m/echo HTTP/1.1\r\nHost: h.example\r\n"
+                        "Lavenderfield-Attempt-Id: large\r\n"
+                        "Content-Length: %d\r\n\r\n",
+                        LARGE_BODY_BYTES);
+    harness_send(fd, head, (size_t)size);
+    harness_send(fd, body, LARGE_BODY_BYTES);
+    cr_assert(HARNESS_WAIT_FOR(harness_run_count("large") == 1));
+    harness_signal_node(0, SIGTERM);
+    size_t got = read_body_slowly(fd);
+    cr_expect_eq(got, LARGE_BODY_BYTES, "%zu bytes", got);
+    cr_expect_eq(harness_wait_node_exit(0), 0);
+    close(fd);
+    free(body);
+}
