local_target: a target that left stays gone after a restart of its node

Cause: departures were in memory only. The node's own entry at the store said "draining", but local_target_recover() used entries of ready targets only. Ruled out: the order of heartbeats, which holds as long as the node runs, and the health check, which is not made for a target that registers.

The entry's target counts as departed if it was draining; if a heartbeat has brought it back before the entry was read, it leaves at once. Two related paths: a target that leaves and is down was announced as gone, which after a restart looks like one that may return, and a departure acknowledged before the entry was read was never announced.

--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -113,17 +113,19 @@
                         t->n->l->now_us);
 }
 
-/* Returns the state of the target as announced to other nodes. */
+/* Returns the state of the target as announced to other nodes.  A target that
+ * leaves is announced as such even if it is down: this node learns from the
+ * announcement after a restart that it must not be used again. */
 enum instance_state
 local_target_state(const local_target *t)
 {
     if (t->instance[0] == '\0') {
         return INSTANCE_STARTING;
     }
-    if (t->down) {
-        return INSTANCE_GONE;
+    if (t->draining) {
+        return INSTANCE_DRAINING;
     }
-    return t->draining ? INSTANCE_DRAINING : INSTANCE_READY;
+    return t->down ? INSTANCE_GONE : INSTANCE_READY;
 }
 
 /* Announces the state of the target if it differs from the node's record. */
@@ -148,7 +150,7 @@
  * time that the platform allows.  A target that has not registered since this
  * start of the node may have begun to drain under an earlier start, so it
  * accepts no more calls. */
-static void
+void
 local_target_begin_drain(local_target *t)
 {
     int64_t drain_us = t->n->settings.drain_ms * CLOCK_US_PER_MS;
@@ -234,6 +236,7 @@
         local_target_begin_drain(t);
         local_target_announce_state(t);
     }
+    local_target_recover_departed(t);
 }
 
 /* Marks the target of a call as down, because it was unreachable or is another
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -24,10 +24,11 @@
     int64_t born_ms;                   /* Unix time of the target's start */
     int64_t sequence;                  /* of the last heartbeat */
     int slots;
-    uint64_t generation;       /* number of target starts seen here */
-    bool registered;           /* since this start of the node */
-    instance_record candidate; /* found in the node's earlier record and not
-                                * yet confirmed; empty instance: none */
+    uint64_t generation;           /* number of target starts seen here */
+    bool registered;               /* since this start of the node */
+    instance_record earlier;       /* as an earlier start of the node announced
+                                * it; empty instance: none known */
+    instance_record candidate;     /* the same, while it is being checked */
     http_async_call *health_check; /* of the candidate; NULL: none pending */
     orphan_calls
         orphans; /* calls dispatched by an earlier start of the node */
@@ -69,6 +70,8 @@
 enum instance_state local_target_state(const local_target *t);
 void local_target_announce_state(local_target *t);
 void local_target_update_limit(local_target *t);
+void local_target_begin_drain(local_target *t);
+void local_target_recover_departed(local_target *t);
 void local_target_reset(local_target *t, const char *instance,
                         int64_t born_ms);
 void local_target_update_load(local_target *t, const http_head *head);
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -90,13 +90,47 @@
     }
 }
 
+/* Takes over the target that an earlier start of the node announced if it is
+ * known to have left since: it is announced as leaving, and gets no calls. */
+void
+local_target_recover_departed(local_target *t)
+{
+    const instance_record *earlier = &t->earlier;
+    if (t->instance[0] == '\0' && earlier->state != INSTANCE_DRAINING &&
+        departed_targets_contains(&t->departed, earlier->instance,
+                                  earlier->born_ms)) {
+        local_target_reset(t, earlier->instance, earlier->born_ms);
+        t->slots = earlier->slots;
+        local_target_update_limit(t);
+        local_target_announce_state(t);
+    }
+}
+
 /* Considers the target in a record that an earlier start of this node
- * announced.  It may still be running, have left, or have been replaced. */
+ * announced.  If it was leaving, no heartbeat brings it back, and if one has
+ * done so already, it leaves now.  Any other one may still be running, have
+ * left, or have been replaced. */
 void
 local_target_recover(local_target *t, const instance_record *record)
 {
-    if (t->instance[0] == '\0' && record->state == INSTANCE_READY &&
-        record->instance[0] != '\0') {
+    if (record->instance[0] == '\0') {
+        return;
+    }
+    if (record->state == INSTANCE_DRAINING) {
+        departed_targets_add(&t->departed, record->instance, record->born_ms);
+    }
+    if (t->instance[0] != '\0') {
+        if (!t->draining &&
+            departed_targets_contains(&t->departed, t->instance, t->born_ms)) {
+            t->registered = false; /* its drain time began long before */
+            local_target_begin_drain(t);
+            local_target_announce_state(t);
+        }
+        return;
+    }
+    t->earlier = *record;
+    local_target_recover_departed(t);
+    if (t->instance[0] == '\0' && record->state == INSTANCE_READY) {
         t->candidate = *record;
         local_target_probe_candidate(t);
     }
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -56,6 +56,8 @@
 int harness_store_read_count(void);
 void harness_store_put(const char *kind, const char *name, const char *spec);
 bool harness_store_contains(const char *kind, const char *name);
+bool harness_store_spec_contains(const char *kind, const char *name,
+                                 const char *text);
 void harness_publish_desired(int version, const char *routes);
 void harness_start_node(int node);
 void harness_set_clock_offset(int node, int64_t ahead_ms);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -151,6 +151,22 @@
     return found;
 }
 
+/* Whether the spec of an object, as compact JSON, contains a text. */
+bool
+harness_store_spec_contains(const char *kind, const char *name,
+                            const char *text)
+{
+    pthread_mutex_lock(&harness_lock);
+    const harness_object *o = harness_find_object(kind, name);
+    char *spec = o == NULL ? NULL
+                           : json_dumps(json_object_get(o->object, "spec"),
+                                        JSON_COMPACT);
+    bool found = spec != NULL && strstr(spec, text) != NULL;
+    free(spec);
+    pthread_mutex_unlock(&harness_lock);
+    return found;
+}
+
 /* Write a desired state as the operator does; `routes` is a JSON list. */
 void
 harness_publish_desired(int version, const char *routes)
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -171,3 +171,50 @@
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
     cr_expect_gt(count_served_by_node1("again"), 0);
 }
+
+typedef struct departure_case {
+    const char *name;
+    bool deregisters;     /* instead of reporting that it drains */
+    bool heartbeat_first; /* it arrives before the entry is read */
+} departure_case;
+
+static const departure_case departure_cases[] = {
+    {"deregistered", true, false},
+    {"draining", false, false},
+    {"deregistered, heartbeat before the entry", true, true},
+};
+
+/* A late heartbeat brought back a target that had left before its node
+ * restarted. */
+Test(mesh_restart, a_target_that_left_is_not_brought_back)
+{
+    for (size_t i = 0; i < COUNT(departure_cases); i++) {
+        const departure_case *c = &departure_cases[i];
+        char instance[32];
+        snprintf(instance, sizeof(instance), "i-left-%zu", i);
+        harness_replace_instance(1, instance);
+        cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+        char late[512];
+        harness_format_heartbeat(late, sizeof(late), 1, "ready", 0);
+        cr_assert_eq(c->deregisters ? harness_deregister_target(1)
+                                    : harness_send_heartbeat(1, "draining", 0),
+                     200);
+        cr_assert(HARNESS_WAIT_FOR(
+            harness_store_spec_contains("lavnodes", "node1", instance) &&
+            harness_store_spec_contains("lavnodes", "node1",
+                                        "\"state\":\"draining\"")));
+        if (c->heartbeat_first) {
+            harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+        }
+        mesh_restart_node(1);
+        if (!c->heartbeat_first) {
+            cr_assert(harness_wait_ready(1));
+        }
+        cr_assert(HARNESS_WAIT_FOR(
+            harness_send_heartbeat_body(1, instance, late) == 200));
+        harness_set_store_mode(HARNESS_STORE_UP);
+        cr_assert(harness_wait_ready(1));
+        harness_sleep_ms(500);
+        cr_expect_eq(count_served_by_node1(instance), 0, "%s", c->name);
+    }
+}
