http_conn: a connection fails when what comes is skipped without end

A target in trouble that sent informational responses, or responses to other requests, without end kept its caller waiting until the time of the route was up: 504 after 5 s, the node's processor busy all the while, and 241 lines about one request in its log.

Cause: what is skipped had no bound but the deadline of the request. Ruled out, by the other cases of the test, which passed before: garbage, line breaks, heads, fields, chunk extensions and trailers without end (the parser gives up after 80 KiB), callers that leave, health checks, and memory (the peak stayed below 64 MiB).

A client connection now fails after 1 MiB of which nothing was passed on. The request ends as after any other malformed response: 502, or another attempt if it may be repeated. A late response is logged once a call.

mesh_flood/bytes_that_are_no_response failed before for informational, others, other-length, other-chunked and other-eof (504 instead of 502), and passes now.

--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -118,7 +118,9 @@
     const runtime_header_names *names = call->target->n->header_names;
     http_str id = http_head_get_field(head, names->request_id);
     if (id.bytes != NULL && !http_str_equals_nocase(id, call->r->id)) {
-        if (log_allow_line("late_answer", LOG_LINES_PER_S)) {
+        if (!call->late_response_logged &&
+            log_allow_line("late_answer", LOG_LINES_PER_S)) {
+            call->late_response_logged = true;
             log_event(LOG_INFO, "late_answer", call->r->id, "{s:s}",
                       "instance", call->target->instance);
         }
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -61,10 +61,11 @@
     size_t sent;            /* body offset up to which bytes are queued */
     bool body_sent;         /* all of the body is queued */
     bool response_started;  /* the response head was delivered */
-    enum reason refusal;    /* by the target, or REASON_NONE */
-    int status;             /* of the response */
-    int64_t keep_alive_us;  /* how long the connection may stay idle */
-    int64_t started_us;     /* when it was dispatched */
+    bool late_response_logged;
+    enum reason refusal;   /* by the target, or REASON_NONE */
+    int status;            /* of the response */
+    int64_t keep_alive_us; /* how long the connection may stay idle */
+    int64_t started_us;    /* when it was dispatched */
 };
 
 enum instance_state local_target_state(const local_target *t);
--- a/src/http/http_conn.h
+++ b/src/http/http_conn.h
@@ -24,6 +24,10 @@
 /* Pipelined bytes kept behind a request; above this, reading stops. */
 #define HTTP_CONN_PENDING_BYTES_MAX 65536
 
+/* Client: bytes received in a row of which nothing is passed on, such as
+ * responses to earlier requests; above this, the connection fails. */
+#define HTTP_CONN_UNUSED_BYTES_MAX 1048576
+
 typedef struct http_conn http_conn;
 
 enum http_conn_close_reason {
@@ -31,7 +35,8 @@
     HTTP_CONN_RESET,     /* reset, or could not be established */
     HTTP_CONN_REFUSED,   /* connection refused: nothing was sent */
     HTTP_CONN_TIMEOUT,   /* a deadline, head or connect timeout expired */
-    HTTP_CONN_MALFORMED, /* received bytes that are not valid HTTP */
+    HTTP_CONN_MALFORMED, /* received bytes that are not valid HTTP, or too
+                          * many that belong to no awaited response */
     HTTP_CONN_TOO_LARGE  /* a head over the limit */
 };
 
--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -142,6 +142,9 @@
         return -1;
     }
     c->skipping_message = result == HTTP_CONN_SKIP;
+    if (!c->skipping_message) {
+        c->unused_bytes = 0;
+    }
     return no_body ? 1 : 0;
 }
 
@@ -153,6 +156,7 @@
     if (c->skipping_message) {
         return 0;
     }
+    c->unused_bytes = 0;
     c->handlers->on_body(c, at, length, c->payload);
     return c->fd < 0 ? HTTP_CONN_PARSER_STOP : 0;
 }
@@ -218,6 +222,7 @@
 enum http_conn_head_result
 http_conn_parse(http_conn *c, const char *bytes, size_t length)
 {
+    c->unused_bytes += length;
     size_t parsed = http_parser_execute(&c->parser, &http_conn_parser_settings,
                                         bytes, length);
     if (c->fd < 0) {
@@ -233,6 +238,10 @@
             (c->head_bytes_max != 0 && c->head_bytes > c->head_bytes_max);
         http_conn_fail(c, large ? HTTP_CONN_TOO_LARGE : HTTP_CONN_MALFORMED);
     }
+    else if (c->parser.type == HTTP_RESPONSE &&
+             c->unused_bytes > HTTP_CONN_UNUSED_BYTES_MAX) {
+        http_conn_fail(c, HTTP_CONN_MALFORMED);
+    }
     return c->fd < 0 ? HTTP_CONN_CLOSED : HTTP_CONN_ACCEPT;
 }
 
--- a/src/http/http_conn_private.h
+++ b/src/http/http_conn_private.h
@@ -41,6 +41,7 @@
     int64_t head_timeout_us;     /* from the start of a message; 0: none */
     size_t head_bytes_max;       /* 0: no limit */
     size_t head_bytes;           /* of the current message so far */
+    size_t unused_bytes;         /* received since a part was last passed on */
     enum http_conn_field_part field_part;
     http_parser parser;
     http_head head;
--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -254,24 +254,6 @@
     harness_write_settings(node);
 }
 
-/* Whether a line of a node's log contains the text. */
-bool
-harness_log_contains(int node, const char *text)
-{
-    char path[128];
-    char line[4096];
-    bool found = false;
-    snprintf(path, sizeof(path), "%s/node%d.log", harness_dir, node);
-    FILE *file = fopen(path, "r");
-    while (file != NULL && !found && fgets(line, sizeof(line), file) != NULL) {
-        found = strstr(line, text) != NULL;
-    }
-    if (file != NULL) {
-        fclose(file);
-    }
-    return found;
-}
-
 int
 harness_metrics_port(int node)
 {
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -25,6 +25,9 @@
     HARNESS_STORE_LOSES_REPLY  /* applies a write and closes the connection */
 };
 
+/* Health status of a target that answers with bytes without end. */
+#define HARNESS_HEALTH_FLOOD (-1)
+
 typedef struct harness_response {
     int status; /* 0: the connection ended before a complete head */
     char head[4096];
@@ -81,7 +84,9 @@
 void harness_http_get(harness_response *out, int port, const char *path);
 int harness_peers_port(int node);
 void harness_rewrite_settings(int node);
+int harness_log_count(int node, const char *text);
 bool harness_log_contains(int node, const char *text);
+long harness_node_peak_kb(int node);
 
 int harness_connect(int node);
 void harness_send(int fd, const char *bytes, size_t length);
--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -68,6 +68,8 @@
 void harness_target_reset(void);
 void harness_set_target_instance(int node, const char *instance);
 int harness_target_port(int node);
+bool harness_flood_runs(const char *name);
+bool harness_send_flood(int fd, const char *name, const char *id);
 int harness_request_status(int port, const char *request);
 
 #endif
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -20,6 +20,8 @@
 #define HARNESS_WORK_MS 5
 #define HARNESS_WORK_JITTER_MS 20
 #define HARNESS_PERMILLE_BASE 1000
+/* Modes "flood-KIND" send bytes without end, see harness_flood.c. */
+#define HARNESS_FLOOD_PREFIX "flood-"
 
 /* What the targets recorded of a request. */
 typedef struct harness_record {
@@ -288,6 +290,10 @@
                      ? 200
                      : harness_health_statuses[node];
     pthread_mutex_unlock(&harness_lock);
+    if (status == HARNESS_HEALTH_FLOOD) {
+        harness_send_flood(fd, "eof", name);
+        return;
+    }
     snprintf(headers, sizeof(headers), "Lavenderfield-Instance-Id: %s\r\n%s",
              name, load);
     harness_write_response(fd, status, headers, "", 0);
@@ -332,6 +338,14 @@
         harness_write_response(fd, 421, headers, "", 0);
         return true;
     }
+    if (g_str_has_prefix(mode, HARNESS_FLOOD_PREFIX)) {
+        const char *flood = mode + strlen(HARNESS_FLOOD_PREFIX);
+        harness_update_record(id, request, node, harness_flood_runs(flood));
+        if (harness_send_flood(fd, flood, id)) {
+            harness_update_record(id, request, node, -1);
+        }
+        return false;
+    }
     harness_update_record(id, request, node, 1);
     if (harness_mode_is(mode, "reset")) {
         harness_reset(fd);
--- /dev/null
+++ b/tests/integration/mesh_flood_test.c
@@ -0,0 +1,130 @@
+/* Targets in trouble that send bytes without end: callers get their final
+ * response, the node closes the connection, and neither its memory nor its log
+ * grows with what comes. */
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "mesh.h"
+
+#define PEAK_MAX_KB (64 * 1024) /* a quarter of the memory of a node */
+#define LOG_LINES_MAX 3         /* about one request, at a node */
+
+TestSuite(mesh_flood, .init = mesh_start, .fini = harness_stop, .timeout = 60);
+
+typedef struct flood_case {
+    const char *kind;
+    int status; /* of a request that must not be repeated */
+} flood_case;
+
+/* Bytes that are no response to the request. */
+static const flood_case flood_cases[] = {
+    {"garbage", 502},      {"newlines", 502},      {"head", 502},
+    {"fields", 502},       {"informational", 502}, {"others", 502},
+    {"other-length", 502}, {"other-chunked", 502}, {"other-eof", 502},
+    {"extension", 502},    {"trailer", 502},
+};
+
+static void
+check_node(int node, const char *kind, const char *id)
+{
+    cr_expect_lt(harness_node_peak_kb(node), PEAK_MAX_KB, "%s: %ld KiB", kind,
+                 harness_node_peak_kb(node));
+    cr_expect_leq(harness_log_count(node, id), LOG_LINES_MAX, "%s: %d lines",
+                  kind, harness_log_count(node, id));
+}
+
+Test(mesh_flood, bytes_that_are_no_response)
+{
+    for (size_t i = 0; i < COUNT(flood_cases); i++) {
+        const flood_case *c = &flood_cases[i];
+        char path[64];
+        char id[64];
+        harness_response response;
+        snprintf(path, sizeof(path), "/n/flood-%s", c->kind);
+        snprintf(id, sizeof(id), "no-response-%s", c->kind);
+        harness_call(&response, 0, "POST", path, id, "", 0);
+        cr_expect_eq(response.status, c->status, "%s: %d", c->kind,
+                     response.status);
+        cr_expect(HARNESS_WAIT_FOR(harness_was_disconnected(id)), "%s",
+                  c->kind);
+        for (int node = 0; node < 3; node++) {
+            check_node(node, c->kind, id);
+        }
+        harness_free_response(&response);
+        harness_call(&response, 0, "POST", "/n/ok", c->kind, "", 0);
+        cr_expect_eq(response.status, 200, "after %s: %d", c->kind,
+                     response.status);
+        harness_free_response(&response);
+    }
+}
+
+/* A response that never ends is relayed until the time of its route is up, and
+ * is not taken for a complete one. */
+Test(mesh_flood, a_response_that_does_not_end)
+{
+    static const char *const kinds[] = {"length", "chunked", "eof"};
+    for (size_t i = 0; i < COUNT(kinds); i++) {
+        char request[256];
+        char bytes[16384];
+        char id[64];
+        ssize_t got = 0;
+        snprintf(id, sizeof(id), "endless-%s", kinds[i]);
+        int size = snprintf(request, sizeof(request),
+                            "GET /q/flood-%s HTTP/1.1\r\nHost: h.example\r\n"
+                            "Lavenderfield-Attempt-Id: %s\r\n\r\n",
+                            kinds[i], id);
+        int fd = harness_connect(0);
+        harness_send(fd, request, (size_t)size);
+        while ((got = read(fd, bytes, sizeof(bytes))) > 0) {
+        }
+        cr_expect_lt(got, 0, "%s: ended in order", kinds[i]);
+        cr_expect(HARNESS_WAIT_FOR(harness_was_disconnected(id)), "%s",
+                  kinds[i]);
+        for (int node = 0; node < 3; node++) {
+            check_node(node, kinds[i], id);
+        }
+        close(fd);
+    }
+}
+
+/* The caller disconnects while the target floods. */
+Test(mesh_flood, callers_that_leave)
+{
+    static const char *const kinds[] = {"other-eof", "length", "extension"};
+    for (size_t i = 0; i < COUNT(kinds); i++) {
+        char request[256];
+        char id[64];
+        snprintf(id, sizeof(id), "leaves-%s", kinds[i]);
+        int size = snprintf(request, sizeof(request),
+                            "GET /i/flood-%s HTTP/1.1\r\nHost: h.example\r\n"
+                            "Lavenderfield-Attempt-Id: %s\r\n\r\n",
+                            kinds[i], id);
+        int fd = harness_connect(0);
+        harness_send(fd, request, (size_t)size);
+        cr_assert(HARNESS_WAIT_FOR(harness_run_count(id) > 0));
+        close(fd);
+        cr_expect(HARNESS_WAIT_FOR(harness_was_disconnected(id)), "%s",
+                  kinds[i]);
+    }
+}
+
+/* The health check after a restart of the node is answered with a flood; the
+ * target is used after its next heartbeat. */
+Test(mesh_flood, health_checks)
+{
+    harness_set_target_health(1, HARNESS_HEALTH_FLOOD, "");
+    mesh_restart_node(1);
+    cr_assert(harness_wait_ready(1));
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_not_adopted")));
+    cr_expect_lt(harness_node_peak_kb(1), PEAK_MAX_KB, "%ld KiB",
+                 harness_node_peak_kb(1));
+    harness_set_target_health(1, 0, "");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    harness_response response;
+    harness_call(&response, 0, "POST", "/n/shed-at-2", "healthy", "", 0);
+    cr_expect_eq(response.status, 200, "%d", response.status);
+    harness_free_response(&response);
+}
