local_target: bodies of refusals and of unsealed responses are bounded

A target in trouble that answered with an error without end had it relayed to its caller, with status 500 and without a final response until the time of the route was up. One whose refusal had a body without end kept the caller from another target: 504 after 5 s.

Cause: a body was bounded only by the deadline of the request, also where it is not passed on. Ruled out: sealed responses, which are the target's, may be of any size and are cut off with a reset at that time.

A refusal counts as soon as its body exceeds 64 KiB, as its head says that the request has not run; the connection is closed. A response without the seal is rejected then, before the caller has got any of it: 502, or another attempt if the request may be repeated.

mesh_flood/bytes_that_are_no_response failed before for error-length, error-chunked and error-eof (500) and refusal (504), and passes now with 502 and 503.

--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -20,6 +20,10 @@
 /* 1 s by which connections are dropped before the stated timeout. */
 #define LOCAL_TARGET_KEEP_ALIVE_MARGIN_US 1000000
 
+/* Bodies of which a larger part is not read: that of a refusal, and that of a
+ * response without the target's seal. */
+#define LOCAL_TARGET_UNSEALED_BODY_BYTES_MAX 65536
+
 #define LOCAL_TARGET_NUMBER_SIZE 64 /* bytes of a number in a field */
 #define LOCAL_TARGET_STATUS_CLASS_SUCCESS 2
 #define LOCAL_TARGET_STATUS_CLASS_SERVER_ERROR 5
@@ -134,6 +138,7 @@
     local_target_update_load(call->target, head);
     call->keep_alive_us = local_target_keep_alive_us(head);
     call->status = head->status;
+    call->sealed = http_head_get_field(head, names->seal).bytes != NULL;
     if (head->status == LOCAL_TARGET_STATUS_MISDIRECTED) {
         call->refusal = REASON_WRONG_TARGET;
     }
@@ -147,14 +152,35 @@
     return call->c == NULL ? HTTP_CONN_CLOSED : HTTP_CONN_ACCEPT;
 }
 
+/* Fails a call that the target has refused. */
+static void
+local_target_fail_refused(local_target_call *call)
+{
+    if (call->refusal == REASON_WRONG_TARGET) {
+        local_target_mark_down(call,
+                               "another instance responds at its address");
+    }
+    local_target_fail_call(call, OUTCOME_NOT_RUN, call->refusal, true);
+}
+
 /* Passes a part of the response body on, unless the response is a refusal. */
 static void
 local_target_on_body(http_conn *c, const char *bytes, size_t length,
                      void *payload)
 {
-    (void)c;
     local_target_call *call = payload;
-    if (call->response_started) {
+    call->body_bytes += length;
+    if (!call->sealed &&
+        call->body_bytes > LOCAL_TARGET_UNSEALED_BODY_BYTES_MAX) {
+        if (call->refusal == REASON_NONE) {
+            local_target_reject_response(call, c,
+                                         "large body without the seal");
+        }
+        else {
+            local_target_fail_refused(call);
+        }
+    }
+    else if (call->response_started) {
         call->callbacks->body(bytes, length, call->payload);
     }
 }
@@ -178,12 +204,8 @@
     conn_pool_put(t->n->pool, c, call->body_sent ? call->keep_alive_us : 0);
     local_target_trim_connections(t,
                                   admission_in_flight_count(t->admission) - 1);
-    if (call->refusal == REASON_WRONG_TARGET) {
-        local_target_mark_down(call,
-                               "another instance responds at its address");
-    }
     if (call->refusal != REASON_NONE) {
-        local_target_fail_call(call, OUTCOME_NOT_RUN, call->refusal, true);
+        local_target_fail_refused(call);
         return;
     }
     const attempt_callbacks *callbacks = call->callbacks;
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -62,6 +62,8 @@
     bool body_sent;         /* all of the body is queued */
     bool response_started;  /* the response head was delivered */
     bool late_response_logged;
+    bool sealed;           /* the response carries the target's seal */
+    size_t body_bytes;     /* of the response, so far */
     enum reason refusal;   /* by the target, or REASON_NONE */
     int status;            /* of the response */
     int64_t keep_alive_us; /* how long the connection may stay idle */
