--- a/install.sh
+++ b/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(build-essential cmake ninja-build pkg-config clang-format clang-tidy
   libnng-dev libmicrohttpd-dev libneon27-dev liburcu-dev libglib2.0-dev
-  libcriterion-dev libcbor-dev libjansson-dev libxxhash-dev libsodium-dev
+  libcriterion-dev libcbor-dev libjansson-dev libyajl-dev libxxhash-dev libsodium-dev
   libtomlplusplus-dev librapidcheck-dev libev-dev libgsl-dev libhttp-parser-dev)
 missing=()
 for package in "${packages[@]}"; do
--- a/src/flow/peer_sync.c
+++ b/src/flow/peer_sync.c
@@ -5,7 +5,9 @@
 
 #include "http_async.h"
 #include "lav/clock.h"
+#include "lav/counter.h"
 #include "lav/err.h"
+#include "lav/json_split.h"
 #include "lav/log.h"
 #include "record_json.h"
 
@@ -25,44 +27,67 @@
     struct sockaddr_in queried; /* address of the node queried last */
 };
 
-/* Merges the records in a peer's state into the fleet. */
+/* Merges the records in a peer's state into the fleet.  One that cannot be
+ * read does not keep the others from being merged. */
 static void
-peer_sync_merge_members(runtime *n, const json_t *members)
+peer_sync_merge_members(runtime *n, const json_parts *members)
 {
-    size_t index = 0;
-    json_t *member = NULL;
-    json_array_foreach(members, index, member)
-    {
+    for (size_t i = 0; i < json_parts_count(members); i++) {
         err e = ERR_INIT;
         instance_record record;
+        json_part part = json_parts_get(members, i);
+        json_t *member = json_part_decode(&part);
         if (record_json_decode(&record, member, &e) < 0) {
+            counter_add_reason(REASON_BAD_MESSAGE);
             log_write(LOG_WARN, NULL, "record from a peer rejected: %s",
                       e.message);
-            continue;
         }
-        runtime_merge_member(n, &record, "a peer");
+        else {
+            runtime_merge_member(n, &record, "a peer");
+        }
+        json_decref(member);
     }
 }
 
 /* Applies the desired state and the fleet of a peer. */
 static void
+peer_sync_apply_state(runtime *n, const json_parts *state)
+{
+    json_parts *members = NULL;
+    json_part part = json_parts_find(state, "desired");
+    json_t *desired = json_part_decode(&part);
+    if (json_is_string(desired)) {
+        runtime_apply_config(n, json_string_value(desired),
+                             json_string_length(desired), "a peer");
+    }
+    json_decref(desired);
+    part = json_parts_find(state, "members");
+    if (json_split(&members, part.text, part.length, NULL) == 0) {
+        peer_sync_merge_members(n, members);
+    }
+    json_parts_free(members);
+}
+
+/* Handles the response with the state of a peer. */
+static void
 peer_sync_on_state(const http_async_response *response, void *payload)
 {
     runtime *n = payload;
+    err e = ERR_INIT;
+    json_parts *state = NULL;
     n->state_fetch_pending = false;
     if (response->result != HTTP_ASYNC_COMPLETE || response->status != 200) {
         log_write(LOG_WARN, NULL, "no state from a peer: status %d",
                   response->status);
         return;
     }
-    json_t *state = json_loadb(response->body, response->length, 0, NULL);
-    json_t *desired = json_object_get(state, "desired");
-    if (json_is_string(desired)) {
-        runtime_apply_config(n, json_string_value(desired),
-                             json_string_length(desired), "a peer");
+    if (json_split(&state, response->body, response->length, &e) < 0) {
+        counter_add_reason(REASON_BAD_MESSAGE);
+        log_write(LOG_WARN, NULL, "state of a peer rejected: %s", e.message);
+        return;
     }
-    peer_sync_merge_members(n, json_object_get(state, "members"));
-    json_decref(state);
+    peer_sync_apply_state(n, state);
+    json_parts_free(state);
 }
 
 /* Fetches the desired state and the fleet from a node, unless a fetch is
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -103,7 +103,8 @@
     return n->routes == NULL ? 0 : routing_version(n->routes);
 }
 
-/* Applies a desired state received from `source`.  Returns ERR_CONFLICT if it
+/* Applies a desired state received from `source`; the text need not be
+ * terminated.  Returns ERR_CONFLICT if it
  * is not newer than the one in force, or the decoder's error. */
 int
 runtime_apply_config(runtime *n, const char *text, size_t length,
@@ -128,7 +129,7 @@
     routing_free(n->routes);
     n->routes = routes;
     g_free(n->config_text);
-    n->config_text = g_memdup2(text, length + 1);
+    n->config_text = g_strndup(text, length);
     n->config_length = length;
     return 0;
 }
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -58,6 +58,10 @@
 int harness_store_write_count(void);
 int harness_store_read_count(void);
 void harness_store_put(const char *kind, const char *name, const char *spec);
+void harness_store_put_raw(const char *kind, const char *name,
+                           const char *text);
+void harness_store_put_raw_spec(const char *kind, const char *name,
+                                const char *text);
 bool harness_store_contains(const char *kind, const char *name);
 bool harness_store_spec_contains(const char *kind, const char *name,
                                  const char *text);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -1,3 +1,4 @@
+#include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -25,6 +26,10 @@
     json_t *event;
 } harness_event;
 
+/* Stands for the raw text of an object, by its index. */
+#define HARNESS_RAW_MARK "@raw-%u@"
+
+static GPtrArray *harness_raw_texts;
 static harness_object harness_objects[HARNESS_OBJECTS_MAX];
 static harness_event harness_events[HARNESS_EVENTS_MAX];
 static int harness_event_count;
@@ -76,6 +81,9 @@
         json_decref(harness_events[i].event);
     }
     harness_event_count = 0;
+    if (harness_raw_texts == NULL) {
+        harness_raw_texts = g_ptr_array_new_with_free_func(g_free);
+    }
     harness_current_store_mode = HARNESS_STORE_UP;
     harness_store_writes = 0;
 }
@@ -110,9 +118,9 @@
     e->event = json_pack("{s:O,s:b}", "object", o->object, "deleted", deleted);
 }
 
-/* Create or replace an object unconditionally. */
+/* The slot of an object, or a free one. */
 static harness_object *
-harness_put_object(const char *kind, const char *name, json_t *spec)
+harness_take_slot(const char *kind, const char *name)
 {
     harness_object *o = harness_find_object(kind, name);
     for (int i = 0; o == NULL && i < HARNESS_OBJECTS_MAX; i++) {
@@ -122,6 +130,14 @@
             snprintf(o->name, sizeof(o->name), "%s", name);
         }
     }
+    return o;
+}
+
+/* Create or replace an object unconditionally. */
+static harness_object *
+harness_put_object(const char *kind, const char *name, json_t *spec)
+{
+    harness_object *o = harness_take_slot(kind, name);
     harness_revision++;
     json_decref(o->object);
     o->object =
@@ -131,6 +147,59 @@
     return o;
 }
 
+/* Keep a text that is served as it is; returns what stands for it. */
+static json_t *
+harness_add_raw_text(const char *text)
+{
+    char mark[32];
+    g_ptr_array_add(harness_raw_texts, g_strdup(text));
+    snprintf(mark, sizeof(mark), HARNESS_RAW_MARK, harness_raw_texts->len - 1);
+    return json_string(mark);
+}
+
+/* Write an object as a client other than the nodes; `text` is the whole object
+ * and is served as it is, whether it can be read or not. */
+void
+harness_store_put_raw(const char *kind, const char *name, const char *text)
+{
+    pthread_mutex_lock(&harness_lock);
+    harness_object *o = harness_take_slot(kind, name);
+    harness_revision++;
+    json_decref(o->object);
+    o->object = harness_add_raw_text(text);
+    harness_append_event(o, false);
+    pthread_mutex_unlock(&harness_lock);
+}
+
+/* The same for the spec of an object. */
+void
+harness_store_put_raw_spec(const char *kind, const char *name,
+                           const char *text)
+{
+    pthread_mutex_lock(&harness_lock);
+    json_t *spec = harness_add_raw_text(text);
+    harness_put_object(kind, name, spec);
+    json_decref(spec);
+    pthread_mutex_unlock(&harness_lock);
+}
+
+/* Put the raw texts into a response where their marks stand. */
+static char *
+harness_insert_raw_texts(char *response)
+{
+    GString *text = g_string_new(response);
+    free(response);
+    pthread_mutex_lock(&harness_lock);
+    for (guint i = 0; i < harness_raw_texts->len; i++) {
+        char mark[32];
+        snprintf(mark, sizeof(mark), "\"" HARNESS_RAW_MARK "\"", i);
+        g_string_replace(text, mark, g_ptr_array_index(harness_raw_texts, i),
+                         0);
+    }
+    pthread_mutex_unlock(&harness_lock);
+    return g_string_free(text, FALSE);
+}
+
 /* Write an object as a client other than the nodes; `spec` is JSON. */
 void
 harness_store_put(const char *kind, const char *name, const char *spec)
@@ -361,7 +430,9 @@
             json_decref(response);
             break; /* applied; closing without a response */
         }
-        char *text = response == NULL ? strdup("{}") : json_dumps(response, 0);
+        char *text = harness_insert_raw_texts(
+            response == NULL ? strdup("{}")
+                             : json_dumps(response, JSON_ENCODE_ANY));
         harness_write_response(fd, status,
                                "Content-Type: application/json\r\n", text,
                                strlen(text));
