--- a/tests/integration/mesh_input_test.c
+++ b/tests/integration/mesh_input_test.c
@@ -190,3 +190,16 @@
         g_free(spec);
     }
 }
+
+/* A write meets an entry that cannot be read, also not by its revision: the
+ * node must not repeat it without a pause. */
+Test(mesh_input, a_write_that_meets_an_odd_entry)
+{
+    harness_store_put_raw("lavnodes", "node1", "null");
+    int writes = harness_store_write_count();
+    harness_replace_instance(1, "i-conflict");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    harness_sleep_ms(1000);
+    writes = harness_store_write_count() - writes;
+    cr_expect(writes > 0 && writes <= WRITES_MAX, "%d", writes);
+}
