record_json: records without a usable name are rejected

An entry of another writer that said "ready" without naming a target got requests, and 17 of 20 requests for its service failed while two sound instances served it.

Cause: records were checked for types and lengths only. The target's name goes into the field that accompanies a request; the peer could not parse it and closed the connection, so the request might have run. A line break in the name would have added fields to the request; slots beyond 32 bits were truncated. Ruled out: ports out of range, which were rejected already.

Records and heartbeats now share their bounds, and only a node whose target has not registered has a record without a target.

--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -27,6 +27,11 @@
 #define INSTANCE_NAME_SIZE 96   /* bytes, including the terminating NUL */
 #define INSTANCE_NONE (-1)
 
+/* Largest values of a record: calls that an instance runs at once, and a Unix
+ * time in ms (the year 2100). */
+#define INSTANCE_SLOTS_MAX 100000
+#define INSTANCE_TIME_MS_MAX 4102444800000LL
+
 /* Penalties, as a fraction of the instance's limit. */
 #define INSTANCE_ZONE_COST 0.35     /* in another zone than the caller */
 #define INSTANCE_FAILURE_WEIGHT 1.5 /* if every call fails */
--- a/src/flow/record_json.c
+++ b/src/flow/record_json.c
@@ -6,9 +6,6 @@
 
 #include "http_listener.h"
 
-/* Unix time of the year 2100 in ms; bounds the values of other nodes so that
- * an incarnation can always be incremented past them. */
-#define RECORD_JSON_INCARNATION_MAX 4102444800000LL
 #define RECORD_JSON_ADDRESS_SIZE 32 /* bytes, with the NUL */
 
 /* Returns the address at which other nodes reach a node. */
@@ -43,8 +40,18 @@
     return g_strlcpy(out, text, size) < size;
 }
 
+/* Copies a name of a node or an instance; false if it is none. */
+static bool
+record_json_copy_name(char *out, const char *text)
+{
+    g_strlcpy(out, text, INSTANCE_NAME_SIZE);
+    return instance_name_is_valid(text);
+}
+
 /* Decodes the record of another node; ERR_INVALID with a message if a field is
- * missing, has the wrong type or is out of range. */
+ * missing, has the wrong type or is out of range.  Only a node whose target
+ * has not registered yet has no name for it.  The bound on an incarnation lets
+ * it always be incremented. */
 int
 record_json_decode(instance_record *out, json_t *value, err *e)
 {
@@ -57,30 +64,35 @@
     json_int_t started_ms = 0;
     json_int_t incarnation = 0;
     json_int_t sequence = 0;
+    json_int_t slots = 0;
     json_error_t error;
     *out = (instance_record){0};
     if (json_unpack_ex(value, &error, 0,
-                       "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:i}", "node",
+                       "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:s,s:I}", "node",
                        &node, "service", &service, "zone", &zone, "peer",
                        &peer, "target", &target, "started_ms", &started_ms,
                        "incarnation", &incarnation, "sequence", &sequence,
-                       "state", &state, "slots", &out->slots) < 0) {
+                       "state", &state, "slots", &slots) < 0) {
         return ERR_SET(e, ERR_INVALID, "invalid node record: %s", error.text);
     }
     struct sockaddr_in peer_address;
-    if (!record_json_copy(out->node, sizeof(out->node), node) ||
+    if (!record_json_copy_name(out->node, node) ||
         !record_json_copy(out->service, sizeof(out->service), service) ||
+        out->service[0] == '\0' ||
         !record_json_copy(out->zone, sizeof(out->zone), zone) ||
-        !record_json_copy(out->instance, sizeof(out->instance), target) ||
         http_listener_parse_address(&peer_address, peer) < 0 ||
-        instance_state_parse(&out->state, state) < 0 || out->slots < 0 ||
-        incarnation <= 0 || incarnation > RECORD_JSON_INCARNATION_MAX ||
-        sequence < 0) {
+        instance_state_parse(&out->state, state) < 0 ||
+        (!record_json_copy_name(out->instance, target) &&
+         (target[0] != '\0' || out->state != INSTANCE_STARTING)) ||
+        slots < 0 || slots > INSTANCE_SLOTS_MAX || started_ms < 0 ||
+        started_ms > INSTANCE_TIME_MS_MAX || incarnation <= 0 ||
+        incarnation > INSTANCE_TIME_MS_MAX || sequence < 0) {
         return ERR_SET(e, ERR_INVALID,
                        "invalid node record: a value is out of range");
     }
     out->ip = peer_address.sin_addr.s_addr;
     out->port = peer_address.sin_port;
+    out->slots = (int)slots;
     out->born_ms = started_ms;
     out->incarnation = (uint64_t)incarnation;
     out->sequence = (uint64_t)sequence;
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -17,7 +17,7 @@
 }
 
 /* Initializes this node's own record from the settings; ERR_INVALID if the
- * peer address does not parse. */
+ * peer address does not parse or other nodes would reject the name. */
 static int
 runtime_self_init(runtime *n, err *e)
 {
@@ -29,6 +29,10 @@
         return ERR_SET(e, ERR_INVALID, "addresses.peers: \"%s\" is no address",
                        peers);
     }
+    if (!instance_name_is_valid(n->settings.name)) {
+        return ERR_SET(e, ERR_INVALID, "node.name: \"%s\" is no name",
+                       n->settings.name);
+    }
     instance_record *self = &n->self;
     g_strlcpy(self->node, n->settings.name, sizeof(self->node));
     g_strlcpy(self->service, n->settings.service, sizeof(self->service));
--- a/tests/integration/mesh_input_test.c
+++ b/tests/integration/mesh_input_test.c
@@ -203,3 +203,29 @@
     writes = harness_store_write_count() - writes;
     cr_expect(writes > 0 && writes <= WRITES_MAX, "%d", writes);
 }
+
+/* Entries that can be read but name no instance that could be used: requests
+ * were sent to them, and lost. */
+Test(mesh_input, entries_with_odd_names)
+{
+    static const char *const targets[] = {"", "i-1\\r\\nX-Odd: 1", "a b"};
+    for (size_t i = 0; i < COUNT(targets); i++) {
+        char spec[512];
+        snprintf(
+            spec, sizeof(spec),
+            "{\"node\":\"odd\",\"service\":\"far\",\"zone\":\"z0\","
+            "\"target\":\"%s\",\"started_ms\":1000,\"incarnation\":%zu,"
+            "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
+            "\"slots\":40}",
+            targets[i], i + 1, harness_peers_port(2));
+        harness_store_put_raw_spec("lavnodes", "odd", spec);
+        harness_sleep_ms(1500); /* more than the delay between two polls */
+        for (int j = 0; j < 20; j++) {
+            char id[32];
+            snprintf(id, sizeof(id), "named-%zu-%d", i, j);
+            cr_expect(is_served(id), "target \"%s\", request %d", targets[i],
+                      j);
+            cr_expect_null(strstr(harness_received_head(id), "X-Odd"));
+        }
+    }
+}
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -163,6 +163,22 @@
     {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"concurrency\":9,"
      "\"state\":\"ready\",\"born\":77" HEARTBEAT_REST,
      false},
+    {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"concurrency\":100001,"
+     "\"state\":\"ready\",\"sequence\":4,\"born\":77" HEARTBEAT_REST,
+     false},
+    {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"concurrency\":9,"
+     "\"state\":\"ready\",\"sequence\":-4,\"born\":77" HEARTBEAT_REST,
+     false},
+    {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"concurrency\":9,"
+     "\"state\":\"ready\",\"sequence\":4,\"born\":-77" HEARTBEAT_REST,
+     false},
+    {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"concurrency\":9,"
+     "\"state\":\"ready\",\"sequence\":4,\"born\":"
+     "9007199254740993" HEARTBEAT_REST,
+     false},
+    {"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"concurrency\":9,"
+     "\"state\":\"ready\",\"sequence\":4,\"born\":1e400" HEARTBEAT_REST,
+     false},
     {"[1]", false},
     {"", false},
 };
