log: text that is not UTF-8 is logged with replacements

Operators got a line without its message, or without the request's id, for input that is not UTF-8, and for messages that were cut within a character: "rejected registration of ..." said nothing for just the ids that were rejected.

Cause: jansson refuses such strings, and the member was left out. Ruled out: lines that cannot be encoded at all; the member was missing, not the line.

Messages and ids are made valid first. The fields of an event are packed at once, so for these the line says that they are lost.

log/text_that_is_not_utf8 failed before for two of three messages, the id and the event, and passes now.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -92,6 +92,19 @@
     free(text);
 }
 
+/* Make a JSON string; bytes that are not UTF-8 are replaced. */
+static json_t *
+log_new_string(const char *text)
+{
+    json_t *string = json_string(text);
+    if (string == NULL) {
+        char *valid = g_utf8_make_valid(text, -1);
+        string = json_string(valid);
+        g_free(valid);
+    }
+    return string;
+}
+
 /* Make a line with the common fields; `request_id` may be NULL. */
 static json_t *
 log_new_line(enum log_level level, const char *event, const char *request_id)
@@ -100,7 +113,7 @@
         "{s:I,s:s,s:s,s:s}", "ms", (json_int_t)clock_wall_ms(), "level",
         log_level_names[level], "process", log_process_name, "event", event);
     if (line != NULL && request_id != NULL) {
-        json_object_set_new(line, "request", json_string(request_id));
+        json_object_set_new(line, "request", log_new_string(request_id));
     }
     return line;
 }
@@ -119,7 +132,7 @@
     vsnprintf(message, sizeof(message), format, args);
     va_end(args);
     json_t *line = log_new_line(level, "message", request_id);
-    json_object_set_new(line, "message", json_string(message));
+    json_object_set_new(line, "message", log_new_string(message));
     log_write_line(line);
 }
 
@@ -189,7 +202,8 @@
 }
 
 /* Log an event with fields: `fields` is a json_pack() format that describes
- * an object, followed by its values.  `request_id` may be NULL. */
+ * an object, followed by its values.  `request_id` may be NULL.  If a value is
+ * not UTF-8, the line says that its fields are lost. */
 void
 log_event(enum log_level level, const char *event, const char *request_id,
           const char *fields, ...)
@@ -206,5 +220,8 @@
         json_object_update_missing(line, packed);
         json_decref(packed);
     }
+    else {
+        json_object_set_new(line, "fields_lost", json_true());
+    }
     log_write_line(line);
 }
--- a/tests/unit/log_test.c
+++ b/tests/unit/log_test.c
@@ -41,6 +41,32 @@
     return count;
 }
 
+/* Messages about input that is not UTF-8, or cut within a character, lost
+ * their text. */
+Test(log, text_that_is_not_utf8)
+{
+    json_t *lines[4];
+    char cut[2048];
+    int fd = pipe_stdout();
+    memset(cut, 'a', sizeof(cut));
+    for (size_t i = 1; i + 2 < sizeof(cut); i += 2) {
+        memcpy(cut + i, "\xc3\xa4", 2);
+    }
+    cut[sizeof(cut) - 1] = '\0';
+    log_write(LOG_WARN, "id-\xff", "rejected \xff\xfe");
+    log_write(LOG_WARN, NULL, "%s", cut);
+    log_write(LOG_WARN, NULL, "a%s", cut);
+    log_event(LOG_WARN, "odd", NULL, "{s:s}", "name", "\xff");
+    cr_assert_eq(read_lines(lines, 4, fd), 4);
+    for (size_t i = 0; i < 3; i++) {
+        const char *message =
+            json_string_value(json_object_get(lines[i], "message"));
+        cr_expect(message != NULL && strlen(message) > 0, "line %zu", i);
+    }
+    cr_expect_not_null(json_object_get(lines[0], "request"));
+    cr_expect(json_is_true(json_object_get(lines[3], "fields_lost")));
+}
+
 Test(log, lines_carry_their_fields)
 {
     static const char *const fields[] = {"ms",    "level",   "process",
