local_target: a request that was refused gets a new connection

Cause: both attempts have the same id, and the second one could be sent on the kept connection of the first, so the id proved nothing. Ruled out: requests that must not be repeated always have a connection of their own; a refusal of another request is skipped by its id; bytes on idle connections close them; claimed responses are found by the attempt's nonce.

A connection on which a response was skipped no longer counts as fresh.

--- a/src/flow/attempt.h
+++ b/src/flow/attempt.h
@@ -46,6 +46,7 @@
     uint32_t route;  /* key of the route */
     uint32_t origin; /* hash of the service of the node that it entered by */
     bool rerouted;   /* another node refused it before */
+    bool resent;     /* the same target refused it before */
     double retry_probability; /* probability that this attempt is a retry */
     int64_t arrived_us;
     int64_t deadline_us; /* when the caller stops waiting */
--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -268,6 +268,7 @@
                        .route = r->route,
                        .origin = r->origin,
                        .rerouted = r->rerouted,
+                       .resent = r->resent,
                        .retry_probability = r->retry_probability,
                        .idempotent = r->idempotent};
     g_strlcpy(hop.instance, instance, sizeof(hop.instance));
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -31,6 +31,7 @@
 {
     runtime *n = q->n;
     q->r.rerouted = q->reroutes > 0;
+    q->r.resent = q->resend_to != INSTANCE_NONE;
     if (member == n->self_member) {
         downstream_overload chain_overload =
             local_target_overload(n->local, q->r.route);
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -10,6 +10,8 @@
 #define HOP_REQUEST_VALUES 13
 #define HOP_RESPONSE_VALUES 13
 #define HOP_PERMILLE 1000
+#define HOP_REROUTED 1 /* flags of a request */
+#define HOP_RESENT 2
 #define HOP_CALLS_MAX 1000000            /* calls; a larger value is invalid */
 #define HOP_DURATION_MAX_US 3600000000LL /* 1 h; a longer one is invalid */
 
@@ -17,6 +19,8 @@
 void
 hop_write_request(bytebuf *out, const hop_request *request)
 {
+    int flags = (request->rerouted ? HOP_REROUTED : 0) |
+                (request->resent ? HOP_RESENT : 0);
     bytebuf_appendf(
         out,
         HOP_HEADER ": %" PRIx64 " %" PRIx64 " %" PRId64 " %" PRId64
@@ -24,7 +28,7 @@
         request->config_version, request->nonce, request->time_left_us,
         request->objective_us, request->priority, request->peer_port,
         request->depth, request->idempotent, request->route, request->origin,
-        request->rerouted, (int)(request->retry_probability * HOP_PERMILLE),
+        flags, (int)(request->retry_probability * HOP_PERMILLE),
         request->instance);
 }
 
@@ -35,7 +39,7 @@
 {
     char text[HOP_VALUE_SIZE];
     int idempotent = 0;
-    int rerouted = 0;
+    int flags = 0;
     int retry_permille = 0;
     *out = (hop_request){0};
     if (!http_str_copy(text, sizeof(text), value) ||
@@ -44,12 +48,13 @@
                " %d %d %d %d %" SCNx32 " %" SCNx32 " %d %d %95s",
                &out->config_version, &out->nonce, &out->time_left_us,
                &out->objective_us, &out->priority, &out->peer_port,
-               &out->depth, &idempotent, &out->route, &out->origin, &rerouted,
+               &out->depth, &idempotent, &out->route, &out->origin, &flags,
                &retry_permille, out->instance) != HOP_REQUEST_VALUES) {
         return ERR_INVALID;
     }
     out->idempotent = idempotent == 1;
-    out->rerouted = rerouted == 1;
+    out->rerouted = (flags & HOP_REROUTED) != 0;
+    out->resent = (flags & HOP_RESENT) != 0;
     out->retry_probability = (double)retry_permille / HOP_PERMILLE;
     bool valid =
         out->time_left_us >= 0 && out->time_left_us <= HOP_DURATION_MAX_US &&
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -29,6 +29,7 @@
     uint32_t route;  /* key of the route */
     uint32_t origin; /* hash of the service of the node that it entered by */
     bool rerouted;   /* another node refused it before */
+    bool resent;     /* the same target refused it before */
     double retry_probability; /* probability that it is a retry */
     bool idempotent;
     char instance[INSTANCE_NAME_SIZE]; /* the only one that may run it */
--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -128,6 +128,7 @@
             log_event(LOG_INFO, "late_answer", call->r->id, "{s:s}",
                       "instance", call->target->instance);
         }
+        call->reused_connection = true;
         return HTTP_CONN_SKIP;
     }
     const char *fault = local_target_response_fault(call, head);
@@ -253,13 +254,15 @@
 
 /* Returns a connection for a call, or NULL.  A non-idempotent request gets a
  * new one: the target may close a reused one just as the request is sent,
- * after which it is unknown whether the request ran. */
+ * after which it is unknown whether the request ran.  So does a request that
+ * the target has refused before: on a reused one, its earlier refusal may come
+ * once more, and carries its id. */
 static http_conn *
 local_target_get_connection(local_target_call *call)
 {
     local_target *t = call->target;
     http_conn *c = NULL;
-    if (call->r->idempotent) {
+    if (call->r->idempotent && !call->r->resent) {
         c = conn_pool_take(t->n->pool, &t->address, LOCAL_TARGET_MAX_IDLE_US);
     }
     call->reused_connection = c != NULL;
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -57,7 +57,7 @@
     int handle;          /* index in local_target.calls */
     bool running;
     http_conn *c;
-    bool reused_connection; /* it carried another request before */
+    bool reused_connection; /* it carried another request or response before */
     size_t sent;            /* body offset up to which bytes are queued */
     bool body_sent;         /* all of the body is queued */
     bool response_started;  /* the response head was delivered */
--- a/src/flow/peer_server.c
+++ b/src/flow/peer_server.c
@@ -214,6 +214,7 @@
     q->r.route = hop->route;
     q->r.origin = hop->origin;
     q->r.rerouted = hop->rerouted;
+    q->r.resent = hop->resent;
     q->r.retry_probability = hop->retry_probability;
     return q;
 }
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -20,6 +20,7 @@
 #define HARNESS_WORK_MS 5
 #define HARNESS_WORK_JITTER_MS 20
 #define HARNESS_PERMILLE_BASE 1000
+#define HARNESS_REFUSALS 2 /* of a request in mode refusal-again */
 /* Modes "flood-KIND" send bytes without end, see harness_flood.c. */
 #define HARNESS_FLOOD_PREFIX "flood-"
 
@@ -29,6 +30,7 @@
     int arrivals;      /* times that it arrived, executed or not */
     int node;          /* beside the target where it arrived last */
     bool disconnected; /* its connection was closed while it ran */
+    int refused_on[HARNESS_REFUSALS]; /* connections of its refusals */
     char *head; /* owned; kept for single requests, not for a /mix load */
     size_t body_size;
 } harness_record;
@@ -37,9 +39,9 @@
 static char harness_target_instances[HARNESS_NODES_MAX][64];
 /* Requests that arrive after this time are late; 0: none are. */
 static int64_t harness_target_close_us[HARNESS_NODES_MAX];
-static int harness_health_statuses[HARNESS_NODES_MAX];   /* 0: 200 */
-static char harness_load_reports[HARNESS_NODES_MAX][32]; /* "": no report */
 static int harness_connection_counts[HARNESS_NODES_MAX]; /* open ones */
+static int harness_connections;                          /* ever accepted */
+static _Thread_local int harness_connection; /* number of this thread's */
 static int harness_late_arrivals;
 static int harness_total_arrivals;
 static int harness_repeat_arrivals;
@@ -68,8 +70,7 @@
     harness_records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                             harness_free_record);
     memset(harness_target_close_us, 0, sizeof(harness_target_close_us));
-    memset(harness_health_statuses, 0, sizeof(harness_health_statuses));
-    memset(harness_load_reports, 0, sizeof(harness_load_reports));
+    harness_health_reset();
     harness_late_arrivals = 0;
     harness_total_arrivals = 0;
     harness_repeat_arrivals = 0;
@@ -87,18 +88,6 @@
     pthread_mutex_unlock(&harness_lock);
 }
 
-/* Set the status with which the target beside a node answers health checks (0:
- * 200) and the load report that it puts into all its responses ("": none). */
-void
-harness_set_target_health(int node, int status, const char *load)
-{
-    pthread_mutex_lock(&harness_lock);
-    harness_health_statuses[node] = status;
-    snprintf(harness_load_reports[node], sizeof(harness_load_reports[node]),
-             "%s", load);
-    pthread_mutex_unlock(&harness_lock);
-}
-
 /* Set the monotonic time, in us, after which the target beside a node must not
  * get requests; harness_late_arrival_count() counts those that do. */
 void
@@ -265,44 +254,44 @@
     }
 }
 
-/* The header line with the load report of the target beside a node, or "". */
-static void
-harness_format_load_header(char *out, size_t size, int node)
+static bool
+harness_mode_is(const char *mode, const char *word)
 {
-    pthread_mutex_lock(&harness_lock);
-    out[0] = '\0';
-    if (harness_load_reports[node][0] != '\0') {
-        snprintf(out, size, "Lavenderfield-Instance-Load: %s\r\n",
-                 harness_load_reports[node]);
-    }
-    pthread_mutex_unlock(&harness_lock);
+    return strcmp(mode, word) == 0;
 }
 
-/* Answer a health check. */
-static void
-harness_serve_health(int fd, const char *name, int node)
+/* Refuse a request at its first two arrivals, of which each is at another
+ * target.  When it comes again, run it, and if that is on the connection of a
+ * refusal, write the refusal once more before the response. */
+static bool
+harness_refuse_again(int fd, const harness_request *request, const char *id,
+                     const char *headers, int node)
 {
-    char headers[256];
-    char load[96];
-    harness_format_load_header(load, sizeof(load), node);
+    char refusal[256];
+    char body[128];
+    snprintf(refusal, sizeof(refusal),
+             "Lavenderfield-Attempt-Id: %s\r\n"
+             "Lavenderfield-Not-Executed: 1\r\n",
+             id);
+    bool runs = harness_arrival_count(id) >= HARNESS_REFUSALS;
+    harness_update_record(id, request, node, runs);
     pthread_mutex_lock(&harness_lock);
-    int status = harness_health_statuses[node] == 0
-                     ? 200
-                     : harness_health_statuses[node];
+    harness_record *r = harness_find_record(id);
+    bool refused_here = r->refused_on[0] == harness_connection ||
+                        r->refused_on[1] == harness_connection;
+    if (!runs) {
+        r->refused_on[r->arrivals - 1] = harness_connection;
+    }
     pthread_mutex_unlock(&harness_lock);
-    if (status == HARNESS_HEALTH_FLOOD) {
-        harness_send_flood(fd, "eof", name);
-        return;
+    if (!runs || refused_here) {
+        harness_write_response(fd, 503, refusal, "", 0);
     }
-    snprintf(headers, sizeof(headers), "Lavenderfield-Instance-Id: %s\r\n%s",
-             name, load);
-    harness_write_response(fd, status, headers, "", 0);
-}
-
-static bool
-harness_mode_is(const char *mode, const char *word)
-{
-    return strcmp(mode, word) == 0;
+    if (runs) {
+        harness_sleep_ms(HARNESS_WORK_MS);
+        snprintf(body, sizeof(body), "answer to %s", id);
+        harness_write_response(fd, 200, headers, body, strlen(body));
+    }
+    return true;
 }
 
 /* Handle one request according to its mode.  Returns false when the connection
@@ -346,6 +335,9 @@
         }
         return false;
     }
+    if (harness_mode_is(mode, "refusal-again")) {
+        return harness_refuse_again(fd, request, id, headers, node);
+    }
     harness_update_record(id, request, node, 1);
     if (harness_mode_is(mode, "reset")) {
         harness_reset(fd);
@@ -432,6 +424,9 @@
 {
     harness_request request;
     harness_adjust_connection_count(node, 1);
+    pthread_mutex_lock(&harness_lock);
+    harness_connection = ++harness_connections;
+    pthread_mutex_unlock(&harness_lock);
     request.body = malloc(HARNESS_BODY_SIZE_MAX);
     bool open = true;
     while (open && harness_read_request(&request, fd)) {
