local_target: a refusal counts only with the id of the request

A faulty target that wrote a refusal without an id on a new connection, and ran the request, had a request that must not be repeated run ten times, and its caller told that it has not run; with a 421 it ran twice.

Cause: error responses without an id were rejected on reused connections only, as nothing but the response to the one request was expected on a new one. Ruled out: targets that leave out the id in earnest; they echo it in all their responses.

Such a refusal is rejected like any response that cannot be matched: 502 if the request must not be repeated, another attempt if it may.

mesh_refusal/refusals_without_an_id failed before (503, run ten times; 503, run twice) and passes now (502, run once each).

--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -89,7 +89,23 @@
     local_target_fail_call(call, OUTCOME_UNKNOWN, REASON_REPLY_MISMATCH, true);
 }
 
-/* Returns why a response cannot be relayed, or NULL if it can. */
+/* Returns the reason of a response that states that the request has not run,
+ * or REASON_NONE for any other. */
+static enum reason
+local_target_refusal(const local_target_call *call, const http_head *head)
+{
+    const runtime_header_names *names = call->target->n->header_names;
+    if (head->status == LOCAL_TARGET_STATUS_MISDIRECTED) {
+        return REASON_WRONG_TARGET;
+    }
+    return http_head_get_field(head, names->not_executed).bytes != NULL
+               ? REASON_TARGET_SHED
+               : REASON_NONE;
+}
+
+/* Returns why a response cannot be relayed, or NULL if it can.  A refusal
+ * without the request's id proves nothing: the request may run all the
+ * same. */
 static const char *
 local_target_response_fault(const local_target_call *call,
                             const http_head *head)
@@ -97,7 +113,8 @@
     const runtime_header_names *names = call->target->n->header_names;
     http_str id = http_head_get_field(head, names->request_id);
     if (head->status / 100 != LOCAL_TARGET_STATUS_CLASS_SUCCESS) {
-        return id.bytes == NULL && call->reused_connection
+        bool proves = local_target_refusal(call, head) != REASON_NONE;
+        return id.bytes == NULL && (proves || call->reused_connection)
                    ? "error response without the request id"
                    : NULL;
     }
@@ -140,13 +157,8 @@
     call->keep_alive_us = local_target_keep_alive_us(head);
     call->status = head->status;
     call->sealed = http_head_get_field(head, names->seal).bytes != NULL;
-    if (head->status == LOCAL_TARGET_STATUS_MISDIRECTED) {
-        call->refusal = REASON_WRONG_TARGET;
-    }
-    else if (http_head_get_field(head, names->not_executed).bytes != NULL) {
-        call->refusal = REASON_TARGET_SHED;
-    }
-    else {
+    call->refusal = local_target_refusal(call, head);
+    if (call->refusal == REASON_NONE) {
         call->response_started = true;
         call->callbacks->head(head, call->payload);
     }
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -365,6 +365,14 @@
         harness_send(fd, head, (size_t)size);
         return false;
     }
+    /* A refusal that belongs to no request comes first. */
+    if (harness_mode_is(mode, "refusal-noid")) {
+        harness_write_response(fd, 503, "Lavenderfield-Not-Executed: 1\r\n",
+                               "", 0);
+    }
+    if (harness_mode_is(mode, "misplaced-noid")) {
+        harness_write_response(fd, 421, "", "", 0);
+    }
     if (harness_mode_is(mode, "noseal")) {
         snprintf(headers, sizeof(headers), "Lavenderfield-Attempt-Id: %s\r\n",
                  id);
--- a/tests/integration/mesh_refusal_test.c
+++ b/tests/integration/mesh_refusal_test.c
@@ -44,3 +44,20 @@
         }
     }
 }
+
+/* A refusal without an id says nothing of the request that runs. */
+Test(mesh_refusal, refusals_without_an_id)
+{
+    static const char *const modes[] = {"refusal-noid", "misplaced-noid"};
+    for (size_t i = 0; i < COUNT(modes); i++) {
+        char path[64];
+        harness_response response;
+        snprintf(path, sizeof(path), "/n/%s", modes[i]);
+        harness_call(&response, 0, "POST", path, modes[i], "", 0);
+        cr_expect_eq(response.status, 502, "%s: %d", modes[i],
+                     response.status);
+        cr_expect_eq(harness_run_count(modes[i]), 1, "%s: run %d times",
+                     modes[i], harness_run_count(modes[i]));
+        harness_free_response(&response);
+    }
+}
