hop: a response names the attempt that it belongs to

A peer that answers with the refusal of another attempt had the request run at a second target, while the first one may run it as well (20 of 20 calls in the test were sent on). Seen by reading, as the counterpart of a target's earlier refusal; no fault of the nodes is known that causes it.

Cause: nodes keep connections for all requests, and responses were matched to them by their order alone. Ruled out: responses that are claimed, which are found by the nonce, and the field of a target's own response, which is not passed on.

The response carries the nonce of the attempt as its last value. One with another nonce is not used: the response is claimed on a new connection, and if that fails too, the outcome is unknown. Older nodes don't send the value and don't read it.

mesh_refusal/a_refusal_of_another_attempt failed before (0 of 20 requests ended as unknown) and passes now.

--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -13,6 +13,7 @@
 #include "lav/clock.h"
 #include "lav/counter.h"
 #include "lav/err.h"
+#include "lav/log.h"
 #include "prober.h"
 #include "record_json.h"
 #include "peer_sync.h"
@@ -162,14 +163,32 @@
     }
 }
 
+/* Whether a response head is the peer's response to this attempt. */
+static bool
+forward_read_response(forward_attempt *f, const http_head *head)
+{
+    if (hop_read_response(&f->response,
+                          http_head_get_field(head, HOP_HEADER)) < 0) {
+        return false;
+    }
+    if (f->response.nonce == f->nonce || f->response.nonce == 0) {
+        return true;
+    }
+    if (log_allow_line("foreign_answer", LOG_LINES_PER_S)) {
+        const instance_record *record = instance_get(f->n->fleet, f->member);
+        log_event(LOG_WARN, "foreign_answer", f->r->id, "{s:s}", "node",
+                  record == NULL ? "" : record->node);
+    }
+    return false;
+}
+
 /* Evaluates the peer's response head: load report, overload, configuration
  * version and outcome. */
 static enum http_conn_head_result
 forward_on_head(http_conn *c, const http_head *head, void *payload)
 {
     forward_attempt *f = payload;
-    if (hop_read_response(&f->response,
-                          http_head_get_field(head, HOP_HEADER)) < 0) {
+    if (!forward_read_response(f, head)) {
         forward_on_end(c, HTTP_CONN_MALFORMED, f);
         return HTTP_CONN_CLOSED;
     }
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -8,7 +8,8 @@
 
 #define HOP_VALUE_SIZE 256 /* bytes of a field value, with the NUL */
 #define HOP_REQUEST_VALUES 13
-#define HOP_RESPONSE_VALUES 13
+#define HOP_RESPONSE_VALUES 14
+#define HOP_RESPONSE_VALUES_MIN 13 /* older nodes don't send the nonce */
 #define HOP_PERMILLE 1000
 #define HOP_REROUTED 1 /* flags of a request */
 #define HOP_RESENT 2
@@ -73,12 +74,13 @@
     bytebuf_appendf(
         out,
         HOP_HEADER ": %d %d %d %" PRIx64 " %" PRIx64 " %d %d %d %d %d %" PRIx32
-                   " %d %d\r\n",
+                   " %d %d %" PRIx64 "\r\n",
         (int)response->outcome, (int)response->reason, response->reached,
         response->config_version, response->incarnation, r->busy, r->limit,
         r->failures_permille, (int)r->state, (int)response->origin,
         response->chain_overload.service,
-        (int)(response->chain_overload.factor * HOP_PERMILLE), r->call_us);
+        (int)(response->chain_overload.factor * HOP_PERMILLE), r->call_us,
+        response->nonce);
 }
 
 /* Parses the value of a response's header field; ERR_INVALID if a part is
@@ -95,14 +97,18 @@
     int overload_permille = 0;
     *out = (hop_response){0};
     instance_load_report *r = &out->report;
-    if (!http_str_copy(text, sizeof(text), value) ||
+    if (!http_str_copy(text, sizeof(text), value)) {
+        return ERR_INVALID;
+    }
+    int values =
         sscanf(text,
                "%d %d %d %" SCNx64 " %" SCNx64 " %d %d %d %d %d %" SCNx32
-               " %d %d",
+               " %d %d %" SCNx64,
                &outcome, &reason, &reached, &out->config_version,
                &out->incarnation, &r->busy, &r->limit, &r->failures_permille,
                &state, &origin, &out->chain_overload.service,
-               &overload_permille, &r->call_us) != HOP_RESPONSE_VALUES) {
+               &overload_permille, &r->call_us, &out->nonce);
+    if (values != HOP_RESPONSE_VALUES && values != HOP_RESPONSE_VALUES_MIN) {
         return ERR_INVALID;
     }
     bool valid = outcome >= OUTCOME_DONE && outcome <= OUTCOME_UNKNOWN &&
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -46,6 +46,7 @@
     enum origin_kind origin; /* of the requests on the route */
     downstream_overload
         chain_overload; /* worst overload on the route's call chain */
+    uint64_t nonce;     /* of the attempt; 0: from an older node */
 } hop_response;
 
 void hop_write_request(bytebuf *out, const hop_request *request);
--- a/src/flow/peer_server.c
+++ b/src/flow/peer_server.c
@@ -66,21 +66,23 @@
     free(q);
 }
 
-/* Appends the hop field with the outcome of a request and the load report. */
+/* Appends the hop field with the outcome of the attempt `hop` and the load
+ * report. */
 static void
-peer_server_write_hop_header(runtime *n, uint32_t route, bytebuf *fields,
-                             enum outcome outcome, enum reason reason,
-                             bool reached)
+peer_server_write_hop_header(runtime *n, const hop_request *hop,
+                             bytebuf *fields, enum outcome outcome,
+                             enum reason reason, bool reached)
 {
     hop_response response = {
+        .nonce = hop->nonce,
         .outcome = outcome,
         .reason = reason,
         .reached = reached,
         .config_version = runtime_config_version(n),
         .incarnation = n->self.incarnation,
         .report = local_target_load_report(n->local),
-        .origin = downstream_route_origin(n->downstream, route),
-        .chain_overload = local_target_overload(n->local, route)};
+        .origin = downstream_route_origin(n->downstream, hop->route),
+        .chain_overload = local_target_overload(n->local, hop->route)};
     hop_write_response(fields, &response);
 }
 
@@ -95,14 +97,14 @@
 
 /* Writes an error response for a request that was refused or failed. */
 void
-peer_server_write_failure(server_conn *s, uint32_t route,
+peer_server_write_failure(server_conn *s, const hop_request *hop,
                           const attempt_failure *failure)
 {
     runtime *n = s->n;
     bytebuf fields = {0};
     bool not_run = failure->outcome == OUTCOME_NOT_RUN;
     counter_add_reason(failure->reason);
-    peer_server_write_hop_header(n, route, &fields, failure->outcome,
+    peer_server_write_hop_header(n, hop, &fields, failure->outcome,
                                  failure->reason, failure->reached);
     if (not_run) {
         bytebuf_appendf(&fields, "Retry-After: %.3f\r\n",
@@ -121,7 +123,7 @@
                            const attempt_failure *failure)
 {
     local_target_log_failure(q->n->local, &q->r, failure);
-    peer_server_write_failure(q->s, q->r.route, failure);
+    peer_server_write_failure(q->s, &q->hop, failure);
     peer_server_finish_request(q);
 }
 
@@ -342,7 +344,7 @@
     bytebuf fields = {0};
     q->response_started = true;
     http_head_write_fields(&fields, head, peer_server_skip_field, NULL);
-    peer_server_write_hop_header(q->n, q->r.route, &fields, OUTCOME_DONE,
+    peer_server_write_hop_header(q->n, &q->hop, &fields, OUTCOME_DONE,
                                  REASON_NONE, true);
     if (q->s == NULL) {
         q->saved.head_received = true;
--- a/src/flow/peer_server_claim.c
+++ b/src/flow/peer_server_claim.c
@@ -102,6 +102,7 @@
                                not_run ? REASON_PEER_UNREACHABLE
                                        : REASON_REPLY_LOST,
                                !not_run, false, INSTANCE_NONE};
-    peer_server_write_failure(s, 0, &failure);
+    hop_request hop = {.nonce = nonce};
+    peer_server_write_failure(s, &hop, &failure);
     server_conn_end_response(s);
 }
--- a/src/flow/peer_server_private.h
+++ b/src/flow/peer_server_private.h
@@ -42,7 +42,7 @@
 void peer_server_finish_request(peer_server_request *q);
 void peer_server_refuse_request(peer_server_request *q,
                                 const attempt_failure *failure);
-void peer_server_write_failure(server_conn *s, uint32_t route,
+void peer_server_write_failure(server_conn *s, const hop_request *hop,
                                const attempt_failure *failure);
 bool peer_server_retain_request(peer_server_request *q);
 void peer_server_buffer_body(peer_server_request *q, const char *bytes,
--- a/tests/integration/mesh_refusal_test.c
+++ b/tests/integration/mesh_refusal_test.c
@@ -2,9 +2,14 @@
  * make a caller believe that its request has not run. */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
+#include "harness_private.h"
+#include "lav/reason.h"
 #include "mesh.h"
+#include "proc.h"
 
 #define REQUESTS 5 /* of a case; the retry budget of a node allows for two */
 
@@ -61,3 +66,64 @@
         harness_free_response(&response);
     }
 }
+
+#define PEER_CALLS 20
+#define OTHER_NONCE "abc"
+
+static int peer_arrivals;
+
+/* A peer that answers each request with a refusal of another attempt. */
+static void
+serve_refusals_of_another(int fd, int index)
+{
+    (void)index;
+    harness_request request;
+    char headers[128];
+    request.body = malloc(HARNESS_BODY_SIZE_MAX);
+    snprintf(headers, sizeof(headers),
+             "Lav-Hop: %d %d 1 1 5 0 40 0 1 0 0 0 0 " OTHER_NONCE "\r\n",
+             OUTCOME_NOT_RUN, REASON_TARGET_SHED);
+    while (harness_read_request(&request, fd)) {
+        char id[64];
+        if (harness_find_header(id, sizeof(id), request.head,
+                                "Lavenderfield-Attempt-Id")) {
+            pthread_mutex_lock(&harness_lock);
+            peer_arrivals++;
+            pthread_mutex_unlock(&harness_lock);
+        }
+        harness_write_response(fd, 503, headers, "", 0);
+    }
+    free(request.body);
+}
+
+/* A peer's refusal of another attempt does not let a request run elsewhere:
+ * it may run at that peer. */
+Test(mesh_refusal, a_refusal_of_another_attempt)
+{
+    char spec[512];
+    int failed = 0;
+    int port = proc_reserve_port();
+    int listener = harness_listen(port, 0, serve_refusals_of_another);
+    snprintf(spec, sizeof(spec),
+             "{\"node\":\"other\",\"service\":\"far\",\"zone\":\"z0\","
+             "\"target\":\"i-other\",\"started_ms\":1000,\"incarnation\":5,"
+             "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
+             "\"slots\":40}",
+             port);
+    harness_store_put("lavnodes", "other", spec);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
+    for (int i = 0; i < PEER_CALLS; i++) {
+        char id[32];
+        harness_response response;
+        snprintf(id, sizeof(id), "other-%d", i);
+        harness_call(&response, 0, "POST", "/n/ok", id, "", 0);
+        failed += response.status == 502;
+        cr_expect_eq(harness_run_count(id), response.status == 200 ? 1 : 0,
+                     "%s: %d, run %d times", id, response.status,
+                     harness_run_count(id));
+        harness_free_response(&response);
+    }
+    cr_expect_gt(peer_arrivals, 0);
+    cr_expect_eq(failed, peer_arrivals, "%d of %d", failed, peer_arrivals);
+    shutdown(listener, SHUT_RDWR);
+}
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -354,6 +354,22 @@
     "1 1 1 1 0 80 0 1 1 1 0 -1 i",
     "1 1 1 1 0 80 0 1 1 1 0 i"};
 
+/* The nonce of a response is optional, as older nodes don't send it. */
+Test(flow, hop_responses_name_their_attempt)
+{
+    static const struct {
+        const char *text;
+        uint64_t nonce;
+    } cases[] = {{"0 0 0 1 1 0 0 0 1 0 0 0 0", 0},
+                 {"0 0 0 1 1 0 0 0 1 0 0 0 0 1f", 0x1f}};
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        hop_response reply;
+        http_str text = {cases[i].text, strlen(cases[i].text)};
+        cr_assert_eq(hop_read_response(&reply, text), 0);
+        cr_expect_eq(reply.nonce, cases[i].nonce, "%s", cases[i].text);
+    }
+}
+
 Test(flow, hop_headers_are_validated)
 {
     hop_response reply;
