--- a/tests/integration/harness_flood.c
+++ b/tests/integration/harness_flood.c
@@ -93,6 +93,9 @@
     for (size_t at = 0; at < length; at += unit) {
         memcpy(piece + at, kind->repeated, unit);
     }
+    if (length == 0) {
+        return false; /* the unit is larger than a piece */
+    }
     int size = snprintf(start, sizeof(start), kind->start, id);
     harness_send(fd, start, (size_t)size);
     setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -263,7 +263,7 @@
 /* Refuse a request at its first two arrivals, of which each is at another
  * target.  When it comes again, run it, and if that is on the connection of a
  * refusal, write the refusal once more before the response. */
-static bool
+static void
 harness_refuse_again(int fd, const harness_request *request, const char *id,
                      const char *headers, int node)
 {
@@ -291,41 +291,42 @@
         snprintf(body, sizeof(body), "answer to %s", id);
         harness_write_response(fd, 200, headers, body, strlen(body));
     }
-    return true;
 }
 
-/* Handle one request according to its mode.  Returns false when the connection
- * must be closed. */
-static bool
-harness_serve_request(int fd, const harness_request *request, const char *id,
-                      const char *mode, int node)
+enum harness_served {
+    HARNESS_NOT_SERVED, /* the mode is another one */
+    HARNESS_SERVED,
+    HARNESS_SERVED_CLOSE /* and the connection must be closed */
+};
+
+/* Handle a request in a mode in which it is refused or flooded; `headers` are
+ * those of a response. */
+static enum harness_served
+harness_serve_refusal(int fd, const harness_request *request, const char *id,
+                      const char *mode, int node, const char *headers)
 {
-    char headers[512];
-    char body[128];
-    char load[96];
-    harness_format_load_header(load, sizeof(load), node);
-    snprintf(headers, sizeof(headers),
-             "Lavenderfield-Attempt-Id: %s\r\n"
-             "Lavenderfield-Response-Seal: seal-of-%s\r\n%s",
-             id, id, load);
-    snprintf(body, sizeof(body), "answer to %s", id);
+    char refusal[512];
     if (harness_mode_is(mode, "shed")) {
         harness_update_record(id, request, node, 0);
-        snprintf(headers, sizeof(headers),
+        snprintf(refusal, sizeof(refusal),
                  "Lavenderfield-Attempt-Id: %s\r\n"
                  "Lavenderfield-Not-Executed: 1\r\n",
                  id);
-        harness_write_response(fd, 503, headers, "", 0);
-        return true;
+        harness_write_response(fd, 503, refusal, "", 0);
+        return HARNESS_SERVED;
     }
     /* Another process has the address by now, and rejects the request late. */
     if (harness_mode_is(mode, "misplaced")) {
         harness_update_record(id, request, node, 0);
         harness_sleep_ms(300);
-        snprintf(headers, sizeof(headers), "Lavenderfield-Attempt-Id: %s\r\n",
+        snprintf(refusal, sizeof(refusal), "Lavenderfield-Attempt-Id: %s\r\n",
                  id);
-        harness_write_response(fd, 421, headers, "", 0);
-        return true;
+        harness_write_response(fd, 421, refusal, "", 0);
+        return HARNESS_SERVED;
+    }
+    if (harness_mode_is(mode, "refusal-again")) {
+        harness_refuse_again(fd, request, id, headers, node);
+        return HARNESS_SERVED;
     }
     if (g_str_has_prefix(mode, HARNESS_FLOOD_PREFIX)) {
         const char *flood = mode + strlen(HARNESS_FLOOD_PREFIX);
@@ -333,10 +334,30 @@
         if (harness_send_flood(fd, flood, id)) {
             harness_update_record(id, request, node, -1);
         }
-        return false;
+        return HARNESS_SERVED_CLOSE;
     }
-    if (harness_mode_is(mode, "refusal-again")) {
-        return harness_refuse_again(fd, request, id, headers, node);
+    return HARNESS_NOT_SERVED;
+}
+
+/* Handle one request according to its mode.  Returns false when the connection
+ * must be closed. */
+static bool
+harness_serve_request(int fd, const harness_request *request, const char *id,
+                      const char *mode, int node)
+{
+    char headers[512];
+    char body[128];
+    char load[96];
+    harness_format_load_header(load, sizeof(load), node);
+    snprintf(headers, sizeof(headers),
+             "Lavenderfield-Attempt-Id: %s\r\n"
+             "Lavenderfield-Response-Seal: seal-of-%s\r\n%s",
+             id, id, load);
+    snprintf(body, sizeof(body), "answer to %s", id);
+    enum harness_served served =
+        harness_serve_refusal(fd, request, id, mode, node, headers);
+    if (served != HARNESS_NOT_SERVED) {
+        return served == HARNESS_SERVED;
     }
     harness_update_record(id, request, node, 1);
     if (harness_mode_is(mode, "reset")) {
