node_stop: the entry of a target that is leaving stays

Cause: a node whose target is unavailable deletes its entry when it stops, and with it the departure. Ruled out: the recovery from the entry, which the cases with a kill pass.

The entry is deleted only if the target has ended: unknown, down, or not to be connected to.

mesh_restart/a_target_that_left_is_not_brought_back failed before for its two new cases, "deregistered, node stopped" and "draining, node stopped", and passes now.

--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -89,6 +89,7 @@
 {
     if (t != NULL) {
         http_async_cancel(t->health_check);
+        http_async_cancel(t->end_check);
         admission_free(t->admission);
         dispatch_free(t->dispatches);
         free(t);
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -30,6 +30,7 @@
                                 * it; empty instance: none known */
     instance_record candidate;     /* the same, while it is being checked */
     http_async_call *health_check; /* of the candidate; NULL: none pending */
+    http_async_call *end_check;    /* whether it has ended; NULL: the same */
     orphan_calls
         orphans; /* calls dispatched by an earlier start of the node */
     departed_targets departed; /* targets that announced that they leave */
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -90,6 +90,50 @@
     }
 }
 
+/* Withdraws the node's entry. */
+static void
+local_target_withdraw_entry(const local_target *t)
+{
+    if (t->n->announce != NULL) {
+        t->n->announce(&t->n->self, true, t->n->callback_payload);
+    }
+}
+
+/* Evaluates whether a target that was leaving has ended. */
+static void
+local_target_on_end_check(const http_async_response *response, void *payload)
+{
+    local_target *t = payload;
+    bool ended = response->result == HTTP_ASYNC_NOT_SENT;
+    t->end_check = NULL;
+    log_event(LOG_INFO, "target_end_checked", NULL, "{s:s,s:b}", "instance",
+              t->instance, "ended", ended);
+    if (ended) {
+        local_target_withdraw_entry(t);
+    }
+}
+
+/* Withdraws the node's entry if the target, which is unavailable, has ended: it
+ * is unknown, down, or leaving and cannot be connected to. */
+void
+local_target_check_end(local_target *t)
+{
+    runtime *n = t->n;
+    const char *path =
+        n->routes == NULL
+            ? NULL
+            : routing_health_path(n->routes, n->settings.service);
+    http_async_options opts = {.method = "GET",
+                               .path = path == NULL ? "/" : path,
+                               .timeout_us = LOCAL_TARGET_HEALTH_TIMEOUT_US};
+    conn_pool_close_idle(n->pool, &t->address);
+    if (!t->draining || t->down ||
+        http_async_start(&t->end_check, n->pool, n->l, &t->address, &opts,
+                         local_target_on_end_check, t) < 0) {
+        local_target_withdraw_entry(t);
+    }
+}
+
 /* Takes over the target that an earlier start of the node announced if it is
  * known to have left since: it is announced as leaving, and gets no calls. */
 void
--- a/src/flow/node_stop.c
+++ b/src/flow/node_stop.c
@@ -21,7 +21,9 @@
 #define NODE_STOP_EXIT_DIVISOR 5
 
 /* Begins a planned stop; no effect if it has begun already.  The node serves on
- * meanwhile; its entry is deleted at once if the target is unavailable. */
+ * meanwhile.  Its entry is deleted if the target has ended; that of a target
+ * that is leaving stays for the next start of the node, which must not take the
+ * target for a new one. */
 void
 node_stop_begin(runtime *n)
 {
@@ -33,8 +35,8 @@
               "target_left", unavailable);
     n->stopping = true;
     n->stop_us = n->l->now_us;
-    if (unavailable && n->announce != NULL) {
-        n->announce(&n->self, true, n->callback_payload);
+    if (unavailable) {
+        local_target_check_end(n->local);
     }
 }
 
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -176,12 +176,15 @@
     const char *name;
     bool deregisters;     /* instead of reporting that it drains */
     bool heartbeat_first; /* it arrives before the entry is read */
+    bool stopped;         /* the node, instead of killed */
 } departure_case;
 
 static const departure_case departure_cases[] = {
-    {"deregistered", true, false},
-    {"draining", false, false},
-    {"deregistered, heartbeat before the entry", true, true},
+    {"deregistered", true, false, false},
+    {"draining", false, false, false},
+    {"deregistered, heartbeat before the entry", true, true, false},
+    {"deregistered, node stopped", true, false, true},
+    {"draining, node stopped", false, false, true},
 };
 
 /* A late heartbeat brought back a target that had left before its node
@@ -206,7 +209,9 @@
         if (c->heartbeat_first) {
             harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
         }
-        mesh_restart_node(1);
+        harness_signal_node(1, c->stopped ? SIGTERM : SIGKILL);
+        cr_assert_neq(harness_wait_node_exit(1), -1);
+        harness_start_node(1);
         if (!c->heartbeat_first) {
             cr_assert(harness_wait_ready(1));
         }
@@ -218,3 +223,14 @@
         cr_expect_eq(count_served_by_node1(instance), 0, "%s", c->name);
     }
 }
+
+/* The target has ended before its node is stopped: nobody needs its entry any
+ * more. */
+Test(mesh_restart, a_node_that_stops_after_its_target)
+{
+    cr_assert_eq(harness_deregister_target(1), 200);
+    harness_set_target_refusing(1, true);
+    harness_signal_node(1, SIGTERM);
+    cr_expect(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
+    cr_expect_eq(harness_wait_node_exit(1), 0);
+}
