--- a/tests/integration/mesh_observability_test.c
+++ b/tests/integration/mesh_observability_test.c
@@ -116,6 +116,10 @@
       "waiting"}},
     {"late_answer", true, {"instance"}},
     {"answer_rejected", true, {"instance", "why"}},
+    {"foreign_answer", true, {"node"}},
+    {"object_rejected", false, {"kind", "why"}},
+    {"entry_rejected", false, {"name", "why"}},
+    {"target_end_checked", false, {"instance", "ended"}},
     {"desired_state", false, {"version", "was", "routes", "from"}},
     {"clock_set_back", false, {"incarnation", "earlier"}},
     {"target_adopted",
@@ -242,17 +246,22 @@
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"member_lost\"")));
     harness_start_node(1);
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "\"target_adopted\"")));
+    harness_store_put_raw("lavnodes", "odd", "null");
+    harness_store_put("lavnodes", "other", "{}");
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "entry_rejected")));
     cr_assert_eq(harness_deregister_target(1), 200);
     harness_signal_node(1, SIGTERM);
     cr_expect_eq(harness_wait_node_exit(1), 0);
     check_logs();
     static const char *const expected[] = {
-        "answer",         "attempt",        "door",        "served",
-        "target_failed",  "cancelled",      "late_answer", "answer_rejected",
-        "desired_state",  "target_adopted", "member",      "self",
-        "target_started", "target_leaves",  "target_lost", "store_lost",
-        "store_regained", "member_lost",    "started",     "stopping",
-        "stopped"};
+        "answer",          "attempt",         "door",
+        "served",          "target_failed",   "cancelled",
+        "late_answer",     "answer_rejected", "desired_state",
+        "target_adopted",  "member",          "self",
+        "target_started",  "target_leaves",   "target_lost",
+        "store_lost",      "store_regained",  "member_lost",
+        "started",         "stopping",        "stopped",
+        "object_rejected", "entry_rejected",  "target_end_checked"};
     for (size_t i = 0; i < COUNT(expected); i++) {
         bool found = false;
         for (size_t j = 0; j < COUNT(events); j++) {
