node_stop: a target that ends during the stop is looked for once more

The entry of a target that was leaving when its node was stopped, and ended right after that, stayed at the store for good.

Cause: since the entry of a leaving target is kept for the next start of the node, it was looked only once, at the beginning of the stop, whether the target has ended. Ruled out: targets that have ended by then, of which the entry is deleted.

It is looked again after 2 s, which leaves time for the deletion before the node ends at 2.5 s or later.

mesh_restart/a_node_that_stops_before_its_target failed before (the entry stayed) and passes now.

--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -126,6 +126,9 @@
     http_async_options opts = {.method = "GET",
                                .path = path == NULL ? "/" : path,
                                .timeout_us = LOCAL_TARGET_HEALTH_TIMEOUT_US};
+    if (t->end_check != NULL) {
+        return; /* pending */
+    }
     conn_pool_close_idle(n->pool, &t->address);
     if (!t->draining || t->down ||
         http_async_start(&t->end_check, n->pool, n->l, &t->address, &opts,
--- a/src/flow/node_stop.c
+++ b/src/flow/node_stop.c
@@ -10,6 +10,10 @@
 /* 2.5 s, in which the platform probes readiness at least twice. */
 #define NODE_STOP_LINGER_US 2500000
 
+/* 2 s; a leaving target that was still there at the beginning may have ended,
+ * and there is time left to delete the entry. */
+#define NODE_STOP_RECHECK_US 2000000
+
 /* Before the end of the grace time, open requests are ended: half a second, or
  * this part of a short grace time. */
 #define NODE_STOP_MARGIN_MAX_US 500000
@@ -49,6 +53,12 @@
     int64_t margin_us =
         MIN(NODE_STOP_MARGIN_MAX_US, grace_us / NODE_STOP_MARGIN_DIVISOR);
     int64_t left_us = grace_us - (n->l->now_us - n->stop_us);
+    if (!n->stop_rechecked &&
+        n->l->now_us - n->stop_us >= NODE_STOP_RECHECK_US &&
+        local_target_is_unavailable(n->local)) {
+        n->stop_rechecked = true;
+        local_target_check_end(n->local);
+    }
     n->closed = n->closed || left_us <= margin_us ||
                 n->l->now_us - n->stop_us >= NODE_STOP_LINGER_US;
     if (left_us <= margin_us && !n->ending) {
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -79,6 +79,7 @@
     bool closed;                  /* accepts no new requests */
     bool ending;                  /* starts no further attempts */
     int64_t stop_us;              /* when stopping began */
+    bool stop_rechecked;          /* whether the target has ended */
 } runtime;
 
 int runtime_new(runtime **out, const proxycfg *settings,
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -277,3 +277,15 @@
     }
     cr_expect_gt(served, 0);
 }
+
+/* The target ends only after the stop of its node has begun. */
+Test(mesh_restart, a_node_that_stops_before_its_target)
+{
+    cr_assert_eq(harness_deregister_target(1), 200);
+    harness_signal_node(1, SIGTERM);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_end_checked")));
+    cr_expect(harness_store_contains("lavnodes", "node1"));
+    harness_set_target_refusing(1, true);
+    cr_expect_eq(harness_wait_node_exit(1), 0);
+    cr_expect_not(harness_store_contains("lavnodes", "node1"));
+}
