local_target: a heartbeat of an earlier instance has to be confirmed, too

After a restart of its node, a heartbeat of the instance before the present one was believed until the next heartbeat of the present one, and the node's entry named the old one meanwhile.

Cause: only a heartbeat of the instance that the entry names was held; the other one seemed to be that of a new start. Ruled out: the order of start times, which holds once an instance is known.

A heartbeat is held if its instance started no later than the one in the entry. If a clock was set back and it is a new one after all, it passes the health check. A timer that could be set while active is stopped first.

mesh_restart/a_heartbeat_of_an_earlier_instance failed before (the entry named the old instance) and passes now.

--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -184,22 +184,21 @@
 }
 
 /* Whether the target that sent a heartbeat may have left before this start of
- * the node: it is the one that an earlier start announced, or that is not known
- * yet.  A target that has started since has not. */
+ * the node: it started no later than the one that an earlier start announced,
+ * or that one is not known yet.  A target that has started since has not
+ * left. */
 static bool
 local_target_may_have_left(const local_target *t,
                            const local_target_heartbeat *heartbeat)
 {
-    const instance_record *earlier = &t->earlier;
     if (t->instance[0] != '\0' || heartbeat->leaving ||
         heartbeat->born_ms >= t->node_started_ms ||
         departed_targets_contains(&t->departed, heartbeat->instance,
                                   heartbeat->born_ms)) {
         return false;
     }
-    return !t->earlier_known ||
-           (strcmp(earlier->instance, heartbeat->instance) == 0 &&
-            earlier->born_ms == heartbeat->born_ms);
+    return !t->earlier_known || (t->earlier.instance[0] != '\0' &&
+                                 heartbeat->born_ms <= t->earlier.born_ms);
 }
 
 /* Starts the health check of a target that may have left, unless one is
@@ -238,6 +237,7 @@
     if (strcmp(t->unconfirmed.instance, heartbeat->instance) != 0 ||
         t->unconfirmed.born_ms != heartbeat->born_ms) {
         t->unconfirmed_since_us = t->n->l->now_us;
+        ev_timer_stop(t->n->l->loop, &t->entries_wait);
         ev_timer_set(&t->entries_wait, LOCAL_TARGET_ENTRIES_WAIT_S, 0.);
         ev_timer_start(t->n->l->loop, &t->entries_wait);
     }
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -289,3 +289,25 @@
     cr_expect_eq(harness_wait_node_exit(1), 0);
     cr_expect_not(harness_store_contains("lavnodes", "node1"));
 }
+
+/* A heartbeat of the instance before the present one arrives first after a
+ * restart: the present one must not be taken for outdated, nor the old one for
+ * present. */
+Test(mesh_restart, a_heartbeat_of_an_earlier_instance)
+{
+    char late[512];
+    harness_format_heartbeat(late, sizeof(late), 1, "ready", 0);
+    harness_replace_instance(1, "i-present");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_assert(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "i-present")));
+    harness_set_target_health(1, 503, "");
+    mesh_restart_node(1);
+    cr_assert(harness_wait_ready(1));
+    cr_assert_eq(harness_send_heartbeat_body(1, "i-1", late), 200);
+    harness_sleep_ms(300);
+    cr_expect(harness_store_spec_contains("lavnodes", "node1", "i-present"));
+    harness_set_target_health(1, 0, "");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_expect(HARNESS_WAIT_FOR(count_served_by_node1("present") > 0));
+}
