--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -349,6 +349,25 @@
     return HARNESS_WAIT_FOR(harness_ready_status(node) == 200);
 }
 
+/* Send a request without a body on a new connection, and don't wait for its
+ * response.  Returns the connection, or -1 when the node does not listen. */
+int
+harness_start_call(int node, const char *method, const char *path,
+                   const char *id)
+{
+    char request[512];
+    int fd = harness_connect(node);
+    int size = snprintf(request, sizeof(request),
+                        "%s %s HTTP/1.1\r\nHost: h.example\r\n"
+                        "Lavenderfield-Attempt-Id: %s\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        method, path, id);
+    if (fd >= 0) {
+        harness_send(fd, request, (size_t)size);
+    }
+    return fd;
+}
+
 /* Send a request of a caller, with a deadline of 5 s, on a new connection to
  * a node and read the response; its status is 0 when the node does not
  * listen. */
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -96,6 +96,8 @@
 void harness_send(int fd, const char *bytes, size_t length);
 void harness_read_response(harness_response *out, int fd);
 void harness_free_response(harness_response *response);
+int harness_start_call(int node, const char *method, const char *path,
+                       const char *id);
 void harness_call(harness_response *out, int node, const char *method,
                   const char *path, const char *id, const char *body,
                   size_t length);
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -11,15 +11,15 @@
 static void
 mesh_start_with(const harness_options *opts)
 {
-    harness_start_with(3, services, opts);
+    harness_start_with(MESH_NODES, services, opts);
     harness_publish_desired(1, ROUTES);
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < MESH_NODES; i++) {
         cr_assert(harness_wait_ready(i));
         cr_assert(
             HARNESS_WAIT_FOR(harness_send_heartbeat(i, "ready", 0) == 200));
     }
     /* Node 0 has discovered the others once a request was executed at each. */
-    for (int i = 1; i < 3; i++) {
+    for (int i = 1; i < MESH_NODES; i++) {
         char path[32];
         char id[32];
         bool reached = false;
@@ -62,3 +62,18 @@
     cr_assert_neq(harness_wait_node_exit(node), -1);
     harness_start_node(node);
 }
+
+/* Kill the processes of all nodes at once and start new ones. */
+void
+mesh_restart_all(void)
+{
+    for (int i = 0; i < MESH_NODES; i++) {
+        harness_signal_node(i, SIGKILL);
+    }
+    for (int i = 0; i < MESH_NODES; i++) {
+        cr_assert_neq(harness_wait_node_exit(i), -1);
+    }
+    for (int i = 0; i < MESH_NODES; i++) {
+        harness_start_node(i);
+    }
+}
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -8,6 +8,8 @@
 
 #include "harness.h"
 
+#define MESH_NODES 3
+
 #define COUNT(list) (sizeof(list) / sizeof((list)[0]))
 
 #define ROUTE(prefix, kind, timeout, service)                                 \
@@ -25,5 +27,6 @@
 void mesh_start(void);
 void mesh_start_proxied(void);
 void mesh_restart_node(int node);
+void mesh_restart_all(void);
 
 #endif
--- a/tests/integration/mesh_flood_test.c
+++ b/tests/integration/mesh_flood_test.c
@@ -70,17 +70,13 @@
 {
     static const char *const kinds[] = {"length", "chunked", "eof"};
     for (size_t i = 0; i < COUNT(kinds); i++) {
-        char request[256];
+        char path[64];
         char bytes[16384];
         char id[64];
         ssize_t got = 0;
         snprintf(id, sizeof(id), "endless-%s", kinds[i]);
-        int size = snprintf(request, sizeof(request),
-                            "GET /q/flood-%s HTTP/1.1\r\nHost: h.example\r\n"
-                            "Lavenderfield-Attempt-Id: %s\r\n\r\n",
-                            kinds[i], id);
-        int fd = harness_connect(0);
-        harness_send(fd, request, (size_t)size);
+        snprintf(path, sizeof(path), "/q/flood-%s", kinds[i]);
+        int fd = harness_start_call(0, "GET", path, id);
         while ((got = read(fd, bytes, sizeof(bytes))) > 0) {
         }
         cr_expect_lt(got, 0, "%s: ended in order", kinds[i]);
@@ -98,15 +94,11 @@
 {
     static const char *const kinds[] = {"other-eof", "length", "extension"};
     for (size_t i = 0; i < COUNT(kinds); i++) {
-        char request[256];
+        char path[64];
         char id[64];
         snprintf(id, sizeof(id), "leaves-%s", kinds[i]);
-        int size = snprintf(request, sizeof(request),
-                            "GET /i/flood-%s HTTP/1.1\r\nHost: h.example\r\n"
-                            "Lavenderfield-Attempt-Id: %s\r\n\r\n",
-                            kinds[i], id);
-        int fd = harness_connect(0);
-        harness_send(fd, request, (size_t)size);
+        snprintf(path, sizeof(path), "/i/flood-%s", kinds[i]);
+        int fd = harness_start_call(0, "GET", path, id);
         cr_assert(HARNESS_WAIT_FOR(harness_run_count(id) > 0));
         close(fd);
         cr_expect(HARNESS_WAIT_FOR(harness_was_disconnected(id)), "%s",
--- a/tests/integration/mesh_input_test.c
+++ b/tests/integration/mesh_input_test.c
@@ -2,7 +2,6 @@
  * instance, and everything else keeps its effect. */
 #include <criterion/criterion.h>
 #include <glib.h>
-#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -37,7 +36,6 @@
 
 #define DEEP 5000
 #define DEEPER 200000
-#define NODES 3
 #define WRITES_MAX 5 /* of a node that writes its entry again */
 
 /* The spec and the whole object of a node's entry with an odd value, which is
@@ -107,20 +105,6 @@
     g_free(text);
 }
 
-static void
-restart_all(void)
-{
-    for (int i = 0; i < NODES; i++) {
-        harness_signal_node(i, SIGKILL);
-    }
-    for (int i = 0; i < NODES; i++) {
-        cr_assert_neq(harness_wait_node_exit(i), -1);
-    }
-    for (int i = 0; i < NODES; i++) {
-        harness_start_node(i);
-    }
-}
-
 /* Whether a request through node 0 is served by a target of the others. */
 static bool
 is_served(const char *id)
@@ -139,7 +123,7 @@
         char id[32];
         int tries = 0;
         put_odd_objects(&odd_cases[i]);
-        restart_all();
+        mesh_restart_all();
         cr_assert(harness_wait_ready(0), "%s", odd_cases[i].name);
         cr_expect(HARNESS_WAIT_FOR(
                       (snprintf(id, sizeof(id), "odd-%zu-%d", i, tries++),
@@ -162,7 +146,7 @@
         snprintf(instance, sizeof(instance), "i-later-%zu", i);
         harness_replace_instance(1, instance);
         cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
-        for (int node = 0; node < NODES; node++) {
+        for (int node = 0; node < MESH_NODES; node++) {
             cr_expect(HARNESS_WAIT_FOR(harness_log_contains(node, line)),
                       "%s: node %d", odd_cases[i].name, node);
             cr_expect(HARNESS_WAIT_FOR(harness_log_contains(node, instance)),
--- a/tests/integration/mesh_recovery_test.c
+++ b/tests/integration/mesh_recovery_test.c
@@ -8,7 +8,6 @@
 #include "lav/clock.h"
 #include "mesh.h"
 
-#define NODES 3
 #define BOUND_MS 15000 /* the platform's `recovery` */
 #define FROZEN_MS 2000
 #define PAUSE_MS 10 /* between two attempts */
@@ -19,20 +18,6 @@
 TestSuite(mesh_recovery, .init = mesh_start, .fini = harness_stop,
           .timeout = 60);
 
-static void
-restart_all(void)
-{
-    for (int i = 0; i < NODES; i++) {
-        harness_signal_node(i, SIGKILL);
-    }
-    for (int i = 0; i < NODES; i++) {
-        cr_assert_neq(harness_wait_node_exit(i), -1);
-    }
-    for (int i = 0; i < NODES; i++) {
-        harness_start_node(i);
-    }
-}
-
 static void
 kill_callers_node(void)
 {
@@ -67,8 +52,8 @@
 restart_all_without_the_store(void)
 {
     harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
-    restart_all();
-    for (int i = 0; i < NODES; i++) {
+    mesh_restart_all();
+    for (int i = 0; i < MESH_NODES; i++) {
         cr_assert(
             HARNESS_WAIT_FOR(harness_send_heartbeat(i, "ready", 0) == 200));
     }
@@ -79,7 +64,7 @@
 restart_all_after_a_change(void)
 {
     harness_publish_desired(2, NEW_ROUTES);
-    restart_all();
+    mesh_restart_all();
 }
 
 typedef struct recovery_case {
@@ -94,7 +79,7 @@
     {"the target's node frozen for 2 s", freeze_targets_node, "/n/shed-at-2"},
     {"a node and its target replaced", replace_node_and_target,
      "/n/shed-at-2"},
-    {"all nodes killed", restart_all, "/n/ok"},
+    {"all nodes killed", mesh_restart_all, "/n/ok"},
     {"all nodes killed, the store away until then",
      restart_all_without_the_store, "/n/ok"},
     {"all nodes killed right after a change", restart_all_after_a_change,
--- a/tests/integration/mesh_stop_test.c
+++ b/tests/integration/mesh_stop_test.c
@@ -26,21 +26,6 @@
 
 TestSuite(mesh_stop, .init = mesh_start, .fini = harness_stop, .timeout = 60);
 
-/* Send a request on a new connection and don't wait for its response. */
-static int
-send_request(int node, const char *method, const char *path, const char *id)
-{
-    char request[256];
-    int fd = harness_connect(node);
-    int size = snprintf(request, sizeof(request),
-                        "%s %s HTTP/1.1\r\nHost: h.example\r\n"
-                        "Lavenderfield-Attempt-Id: %s\r\n"
-                        "Content-Length: 0\r\n\r\n",
-                        method, path, id);
-    harness_send(fd, request, (size_t)size);
-    return fd;
-}
-
 /* Returns the status of the response on a connection, 0 if it ends without a
  * complete one. */
 static int
@@ -63,7 +48,7 @@
     for (int i = 0; i < TARGETS * SLOTS; i++) {
         char id[32];
         snprintf(id, sizeof(id), "fill-%d", i);
-        fds[sent++] = send_request(0, "POST", "/n/hang", id);
+        fds[sent++] = harness_start_call(0, "POST", "/n/hang", id);
     }
     harness_sleep_ms(300);
     return sent;
@@ -78,7 +63,8 @@
     harness_signal_node(0, SIGTERM);
     harness_sleep_ms(500);
     for (size_t i = 0; i < COUNT(paths); i++) {
-        fds[i] = send_request(0, i == 1 ? "GET" : "POST", paths[i], paths[i]);
+        fds[i] =
+            harness_start_call(0, i == 1 ? "GET" : "POST", paths[i], paths[i]);
     }
     for (size_t i = 0; i < COUNT(paths); i++) {
         int status = read_status(fds[i]);
