tests: an odd entry stands before the others in a list

The mutant 'an unreadable item ends the list' was missed: the stand-in listed objects in the order of their creation, so nothing came after the odd one.

--- a/tests/integration/mesh_input_test.c
+++ b/tests/integration/mesh_input_test.c
@@ -94,14 +94,14 @@
     return text;
 }
 
-/* Write the odd object of a case to both kinds that the nodes read; it
- * replaces the one before. */
+/* Write the odd object of a case to both kinds that the nodes read, where it
+ * stands before all others; it replaces the one before. */
 static void
 put_odd_objects(const odd_case *c)
 {
     char *text = format_odd(c, c->object);
-    harness_store_put_raw("lavnodes", "odd", text);
-    harness_store_put_raw("config", "odd", text);
+    harness_store_put_raw("lavnodes", "0-odd", text);
+    harness_store_put_raw("config", "0-odd", text);
     g_free(text);
 }
 
