tests: heartbeats with odd values

Values that the JSON library refuses, in a heartbeat: it is rejected with 400, or cut off where it is larger than a request may be, and the next heartbeat counts. No fault was found: it passes on the code of the commit before.

--- a/tests/integration/harness_instance.c
+++ b/tests/integration/harness_instance.c
@@ -1,4 +1,5 @@
 /* What the targets say of themselves to the nodes beside them. */
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -9,13 +10,14 @@
 int
 harness_send_heartbeat_body(int node, const char *instance, const char *text)
 {
-    char request[2048];
-    snprintf(request, sizeof(request),
-             "PUT /api/instances/%s HTTP/1.1\r\nHost: x\r\n"
-             "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-             instance, strlen(text), text);
-    return harness_request_status(harness_nodes[node].ports[HARNESS_CONTROL],
-                                  request);
+    char *request = g_strdup_printf(
+        "PUT /api/instances/%s HTTP/1.1\r\nHost: x\r\n"
+        "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+        instance, strlen(text), text);
+    int status = harness_request_status(
+        harness_nodes[node].ports[HARNESS_CONTROL], request);
+    g_free(request);
+    return status;
 }
 
 /* Write the body of a heartbeat of the target beside a node; `sequence` 0
--- a/tests/integration/mesh_input_test.c
+++ b/tests/integration/mesh_input_test.c
@@ -213,3 +213,35 @@
         }
     }
 }
+
+/* A heartbeat with an odd value is rejected; the next one counts. */
+Test(mesh_input, heartbeats_with_odd_values)
+{
+    for (size_t i = 0; i < COUNT(odd_cases); i++) {
+        const odd_case *c = &odd_cases[i];
+        if (c->value == NULL && c->depth == 0) {
+            continue;
+        }
+        char heartbeat[512];
+        char instance[32];
+        snprintf(instance, sizeof(instance), "i-odd-%zu", i);
+        harness_replace_instance(1, instance);
+        harness_format_heartbeat(heartbeat, sizeof(heartbeat), 1, "ready", 0);
+        char *end = strrchr(heartbeat, '}');
+        cr_assert_not_null(end);
+        *end = '\0';
+        char *format = g_strdup_printf("%s,\"odd\":%%s}", heartbeat);
+        char *text = format_odd(c, format);
+        int status = harness_send_heartbeat_body(1, instance, text);
+        /* One that is larger than a request may be gets no answer. */
+        cr_expect_eq(status, c->depth == DEEPER ? 0 : 400, "%s: %d", c->name,
+                     status);
+        cr_expect_eq(harness_send_heartbeat(1, "ready", 0), 200, "%s",
+                     c->name);
+        cr_expect(HARNESS_WAIT_FOR(harness_store_spec_contains(
+                      "lavnodes", "node1", instance)),
+                  "%s", c->name);
+        g_free(text);
+        g_free(format);
+    }
+}
