--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -255,31 +255,31 @@
     json_decref(spec);
 }
 
-/* Order of names; the arguments point to pointers to objects. */
+/* Order of names; the arguments point to indexes of objects. */
 static int
 harness_compare_names(const void *a, const void *b)
 {
-    const harness_object *const *left = a;
-    const harness_object *const *right = b;
-    return strcmp((*left)->name, (*right)->name);
+    const int *left = a;
+    const int *right = b;
+    return strcmp(harness_objects[*left].name, harness_objects[*right].name);
 }
 
 /* The response to a list request: the objects of a kind by name. */
 static json_t *
 harness_list_objects(const char *kind)
 {
-    const harness_object *objects[HARNESS_OBJECTS_MAX];
+    int objects[HARNESS_OBJECTS_MAX];
     size_t count = 0;
     json_t *items = json_array();
     for (int i = 0; i < HARNESS_OBJECTS_MAX; i++) {
         if (harness_objects[i].object != NULL &&
             strcmp(harness_objects[i].kind, kind) == 0) {
-            objects[count++] = &harness_objects[i];
+            objects[count++] = i;
         }
     }
     qsort(objects, count, sizeof(objects[0]), harness_compare_names);
     for (size_t i = 0; i < count; i++) {
-        json_array_append(items, objects[i]->object);
+        json_array_append(items, harness_objects[objects[i]].object);
     }
     return json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0,
                      "current_rev", (json_int_t)harness_revision);
