local_target: the body of a refusal is bounded, sealed or not

A refusal that carries the target's seal and a body without end kept its caller from another target until the time of the route was up: 504 after 5 s.

Cause: the bound on bodies that are not passed on was tied to the missing seal.

The bound holds for each refusal, and for other responses without the seal.

mesh_flood/bytes_that_are_no_response failed before for refusal-sealed (504) and passes now (503).

--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -183,15 +183,12 @@
 {
     local_target_call *call = payload;
     call->body_bytes += length;
-    if (!call->sealed &&
-        call->body_bytes > LOCAL_TARGET_UNSEALED_BODY_BYTES_MAX) {
-        if (call->refusal == REASON_NONE) {
-            local_target_reject_response(call, c,
-                                         "large body without the seal");
-        }
-        else {
-            local_target_fail_refused(call);
-        }
+    bool large = call->body_bytes > LOCAL_TARGET_UNSEALED_BODY_BYTES_MAX;
+    if (large && call->refusal != REASON_NONE) {
+        local_target_fail_refused(call);
+    }
+    else if (large && !call->sealed) {
+        local_target_reject_response(call, c, "large body without the seal");
     }
     else if (call->response_started) {
         call->callbacks->body(bytes, length, call->payload);
--- a/tests/integration/harness_flood.c
+++ b/tests/integration/harness_flood.c
@@ -51,6 +51,9 @@
      "HTTP/1.1 503 Full\r\n" UNSEALED
      "Lavenderfield-Not-Executed: 1\r\n" LENGTH,
      "a", true},
+    {"refusal-sealed",
+     "HTTP/1.1 503 Full\r\n" OWN "Lavenderfield-Not-Executed: 1\r\n" LENGTH,
+     "a", true},
     {"length", "HTTP/1.1 200 OK\r\n" OWN LENGTH, "a", false},
     {"chunked", "HTTP/1.1 200 OK\r\n" OWN CHUNKED, "1\r\na\r\n", false},
     {"eof", "HTTP/1.1 200 OK\r\n" OWN "\r\n", "a", false},
--- a/tests/integration/mesh_flood_test.c
+++ b/tests/integration/mesh_flood_test.c
@@ -22,11 +22,12 @@
 
 /* Bytes that are no response to the request. */
 static const flood_case flood_cases[] = {
-    {"garbage", 502},       {"newlines", 502},      {"head", 502},
-    {"fields", 502},        {"informational", 502}, {"others", 502},
-    {"other-length", 502},  {"other-chunked", 502}, {"other-eof", 502},
-    {"extension", 502},     {"trailer", 502},       {"error-length", 502},
-    {"error-chunked", 502}, {"error-eof", 502},     {"refusal", 503},
+    {"garbage", 502},        {"newlines", 502},      {"head", 502},
+    {"fields", 502},         {"informational", 502}, {"others", 502},
+    {"other-length", 502},   {"other-chunked", 502}, {"other-eof", 502},
+    {"extension", 502},      {"trailer", 502},       {"error-length", 502},
+    {"error-chunked", 502},  {"error-eof", 502},     {"refusal", 503},
+    {"refusal-sealed", 503},
 };
 
 static void
