shedder: follows the level that the instances of a service report

Cause: each node estimated for itself, from the overload in a handful of responses, which share of the requests an overloaded service can carry. With 196 nodes and six requests a second at each, the estimates lagged by seconds and differed from zone to zone. What the estimate was made of is hidden in part as well: the deepest service sees its calls only after the services above have done their work, and runs that fail early don't make the calls that would follow. That a route depends on a deep service was known only once its requests had failed there.

Change: an instance measures the share that it can carry (overload) and sends it with each response; nodes that call it average what its instances say, all others pass the newest average on with every request and response between them (service_level) and apply it. Calls carry the demand that they stand for (call_demand): requests refused beside the one behind them, calls that begun runs will make or that failed ones no longer make. How many calls a run makes is learned from the runs in flight while nothing is overloaded (call_rate), so a route's dependencies and what a request costs at the service below are known in calm; the level is divided among the priorities by that cost. The target factor falls while a queue stands. A level that nobody confirms lapses.

--- a/include/lav/downstream.h
+++ b/include/lav/downstream.h
@@ -1,12 +1,13 @@
 /*
  * downstream: the overload of the services below each route, as seen by the
  * node of the calling target.  It records which routes carry internal
- * requests, which routes fail when a downstream service is overloaded, and
- * the worst overload downstream, which is reported upstream with each
- * response.
+ * requests, which routes depend on a downstream service, and the worst
+ * overload downstream, which is reported upstream with each response.
  *
  * Meant for a deep service that slows down: the requests at the top make many
- * calls to it, and nearly all of them lose one.
+ * calls to it, and nearly all of them lose one.  A route depends on the routes
+ * that its runs call, which is learned in calm; where that can't be told, its
+ * failures under overload show it.
  */
 #ifndef LAV_DOWNSTREAM_H
 #define LAV_DOWNSTREAM_H
@@ -14,6 +15,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "lav/call_demand.h"
+#include "lav/call_rate.h"
 #include "lav/origin.h"
 
 #ifdef __cplusplus
@@ -34,6 +37,10 @@
 
 #define DOWNSTREAM_FAILURE_WEIGHT 0.05 /* of one run */
 
+/* Demand per call served above which calls have to wait, and runs take longer
+ * than usual. */
+#define DOWNSTREAM_BUSY_FACTOR_MIN 0.95
+
 /* Demand per call served above which a service is overloaded. */
 #define DOWNSTREAM_OVERLOAD_FACTOR_MIN 1.02
 
@@ -44,6 +51,7 @@
 typedef struct downstream_overload {
     uint32_t service; /* hash of its name; 0: none */
     double factor;    /* demand per call served */
+    double cost_us;   /* slot time that a request of the route takes there */
 } downstream_overload;
 
 typedef struct downstream_table downstream_table;
@@ -55,6 +63,12 @@
                                void *payload);
 enum origin_kind downstream_route_origin(const downstream_table *table,
                                          uint32_t route);
+void downstream_begin_run(downstream_table *table, uint32_t route,
+                          double weight, int64_t now_us);
+void downstream_end_run(downstream_table *table, uint32_t route,
+                        int64_t now_us);
+double downstream_record_call(downstream_table *table, uint32_t route,
+                              int64_t now_us);
 void downstream_record_end(downstream_table *table, uint32_t route,
                            bool failed, int64_t now_us);
 void downstream_record_report(downstream_table *table, uint32_t route,
@@ -62,7 +76,7 @@
                               const downstream_overload *chain_overload,
                               int64_t now_us);
 bool downstream_is_internal(const downstream_table *table, uint32_t route);
-downstream_overload downstream_chain_overload(const downstream_table *table,
+downstream_overload downstream_chain_overload(downstream_table *table,
                                               uint32_t route,
                                               const downstream_overload *own,
                                               int64_t now_us);
--- a/lab/emu.c
+++ b/lab/emu.c
@@ -13,6 +13,7 @@
 #define EMU_SETTLE_S 2.0             /* after a disruption, not tallied */
 #define EMU_MEAN_WEIGHT 0.03         /* of one call in the moving average */
 #define EMU_WORK_SIGMA 0.5           /* of the log-normal work time */
+#define EMU_LEVELS_MAX 2 /* levels passed on with a request or response */
 #define EMU_RETRY_WAIT_DIVISOR                                                \
     3 /* callers wait for at most a third of their time left */
 
@@ -26,6 +27,14 @@
     emu_queue_push(m->queue, &event);
 }
 
+/* Identifier of a service or kind, used where the nodes use the hash of its
+ * name; never 0, which means none. */
+static uint32_t
+emu_hash(int value)
+{
+    return (uint32_t)value + 1;
+}
+
 /* Creates a request (no parent) or a call, whose deadline is not after that of
  * its parent. */
 static emu_job *
@@ -38,11 +47,14 @@
                      .at = EMU_NONE,
                      .handle = EMU_NONE,
                      .parent = parent,
+                     .weight = 1,
                      .sent_us = m->now_us,
                      .deadline_us = m->now_us + k->timeout_us};
     g_ptr_array_add(m->jobs, job);
     if (parent != NULL) {
         job->deadline_us = MIN(job->deadline_us, parent->deadline_us);
+        job->weight = downstream_record_call(m->nodes[from].downstream,
+                                             emu_hash(kind), m->now_us);
     }
     return job;
 }
@@ -128,14 +140,6 @@
     }
 }
 
-/* Identifier of a service or kind, used where the nodes use the hash of its
- * name; never 0, which means none. */
-static uint32_t
-emu_hash(int value)
-{
-    return (uint32_t)value + 1;
-}
-
 /* Returns the share of the nodes whose target provides a service. */
 static double
 emu_service_node_share(uint32_t service, void *payload)
@@ -158,11 +162,43 @@
         overload_factor(&node->overload,
                         admission_in_flight_count(node->admission),
                         admission_get_limit(node->admission),
-                        admission_queued_count(node->admission), m->now_us)};
+                        admission_queued_count(node->admission),
+                        node->mean_call_us, m->now_us),
+        0};
     return downstream_chain_overload(node->downstream, emu_hash(kind), &own,
                                      m->now_us);
 }
 
+/* Passes the levels that a node knows on to another one, with a request or a
+ * response. */
+static void
+emu_pass_levels(const emu *m, emu_node *to, const emu_node *from,
+                uint32_t except)
+{
+    service_level_report levels[EMU_LEVELS_MAX];
+    int count = service_level_list(levels, EMU_LEVELS_MAX, &from->levels,
+                                   except, m->now_us);
+    for (int i = 0; i < count; i++) {
+        levels[i].age_us += EMU_HOP_US;
+        service_level_merge(&to->levels, &levels[i], m->now_us);
+    }
+}
+
+/* Tells the node that called an instance which level it measures, and those
+ * that are known beside it.  Refusals don't tell the former: an instance that
+ * is slower than others refuses more calls, and would count for more. */
+static void
+emu_report_levels(const emu *m, emu_node *to, const emu_node *at, bool served)
+{
+    service_level_report own = {emu_hash(at->service),
+                                overload_level(&at->overload), EMU_HOP_US,
+                                true};
+    if (served) {
+        service_level_merge(&to->levels, &own, m->now_us);
+    }
+    emu_pass_levels(m, to, at, own.service);
+}
+
 /* Records the load report that came with a reply at the calling node. */
 static void
 emu_record_load_report(emu *m, const emu_job *job)
@@ -178,6 +214,7 @@
     downstream_overload chain_overload = emu_chain_overload(m, at, job->kind);
     enum origin_kind origin =
         downstream_route_origin(at->downstream, emu_hash(job->kind));
+    emu_report_levels(m, from, at, job->refusal == REASON_NONE);
     instance_set_load(from->instances, job->at, &report, m->now_us);
     downstream_record_report(from->downstream, emu_hash(job->kind), origin,
                              &chain_overload, m->now_us);
@@ -258,6 +295,7 @@
     overload_count_end(&node->overload);
     downstream_record_end(node->downstream, emu_hash(job->kind), !ok,
                           m->now_us);
+    downstream_end_run(node->downstream, emu_hash(job->kind), m->now_us);
     admission_release_slot(node->admission, took_us, m->now_us);
     emu_send_reply(m, job, ok, REASON_NONE);
     emu_dispatch_queued(m, job->at);
@@ -283,7 +321,7 @@
 static void
 emu_start_run(emu *m, emu_job *job)
 {
-    const emu_node *node = &m->nodes[job->at];
+    emu_node *node = &m->nodes[job->at];
     const emu_kind *k = &m->opts->kinds[job->kind];
     const emu_disruption *t = &m->opts->disruption;
     double normal = 0;
@@ -298,6 +336,8 @@
         t->slow_service == node->service && node->index < t->slow_count) {
         work_us *= t->slower;
     }
+    downstream_begin_run(node->downstream, emu_hash(job->kind), job->weight,
+                         m->now_us);
     job->run_start_us = m->now_us;
     job->executed = true;
     job->runs++;
@@ -345,11 +385,12 @@
     }
     node->jobs[handle] = job;
     job->handle = handle;
+    emu_pass_levels(m, node, &m->nodes[job->from], 0);
     downstream_record_arrival(node->downstream, emu_hash(job->kind),
                               emu_hash(m->nodes[job->from].service),
                               emu_service_node_share, m);
     if (job->reroutes == 0) {
-        overload_count_arrival(&node->overload);
+        overload_count_arrival(&node->overload, job->weight);
     }
     target_queue_request request = {
         .handle = handle,
@@ -377,6 +418,7 @@
         break;
     case ADMISSION_REFUSED:
         overload_count_held_up(&node->overload);
+        overload_count_lost(&node->overload);
         emu_refuse(m, node, job, admitted.reason);
         break;
     }
@@ -389,6 +431,7 @@
     emu_node *node = &m->nodes[index];
     admission_refusal refusal;
     while (admission_pop_expired(&refusal, node->admission, m->now_us)) {
+        overload_count_lost(&node->overload);
         emu_refuse(m, node, node->jobs[refusal.handle], refusal.reason);
     }
     emu_dispatch_queued(m, index);
@@ -468,6 +511,11 @@
         emu_finish(m, job, false);
         return;
     }
+    if (m->opts->load_shedding) {
+        job->weight = 1 / shedder_get_limit(node->shedder, emu_hash(job->kind),
+                                            m->now_us)
+                              .level;
+    }
     emu_schedule(m, job->deadline_us - m->now_us, EMU_DEADLINE, job,
                  job->from);
     emu_attempt(m, job);
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -48,6 +48,7 @@
     int calls_made;
     int runs; /* executions for it and for the calls below it */
     instance_query query;
+    double weight; /* the demand that it stands for */
 } emu_job;
 
 /* A node and its target. */
@@ -62,6 +63,7 @@
     admission_queue *admission;
     overload_meter overload;
     double mean_call_us; /* moving average of execution times */
+    service_level_table levels;
     emu_job *jobs[EMU_RUNS_MAX];
     bool expiring; /* EMU_EXPIRE_QUEUED is scheduled */
 } emu_node;
--- a/lab/emu_run.c
+++ b/lab/emu_run.c
@@ -20,7 +20,8 @@
     instance_new(&node->instances,
                  m->opts->seed + (uint64_t)(node - m->nodes));
     downstream_new(&node->downstream);
-    shedder_new(&node->shedder);
+    shedder_new(&node->shedder, &node->levels,
+                m->opts->seed + (uint64_t)(node - m->nodes));
     target_queue_new(&node->admission);
     admission_set_slots(node->admission, s->slots, false, 0);
 }
--- a/src/core/downstream.c
+++ b/src/core/downstream.c
@@ -20,6 +20,8 @@
 
 struct downstream_table {
     GHashTable *routes; /* route key -> downstream_route */
+    call_rate_table calls;
+    call_demand demand;
 };
 
 /* Creates an empty table.  ERR_NO_MEMORY if memory is exhausted. */
@@ -95,12 +97,41 @@
     return entry->internal_share > DOWNSTREAM_INTERNAL_SHARE_MIN;
 }
 
+/* Records that a run has begun at the target of this node, for a request that
+ * stands for `weight`. */
+void
+downstream_begin_run(downstream_table *table, uint32_t route, double weight,
+                     int64_t now_us)
+{
+    call_demand_begin_run(
+        &table->demand, call_rate_total_per_run(&table->calls, route, now_us),
+        weight, !table->calls.paused, now_us);
+    call_rate_begin_run(&table->calls, route, now_us);
+}
+
+/* Records that a run that downstream_begin_run() recorded is over. */
+void
+downstream_end_run(downstream_table *table, uint32_t route, int64_t now_us)
+{
+    call_rate_end_run(&table->calls, route, now_us);
+}
+
+/* Records an internal request that the target of this node makes.  Returns the
+ * demand that it stands for. */
+double
+downstream_record_call(downstream_table *table, uint32_t route, int64_t now_us)
+{
+    call_rate_count_call(&table->calls, route, now_us);
+    return call_demand_record_call(&table->demand, !table->calls.paused,
+                                   now_us);
+}
+
 /* Returns the worst overload reported for the calls that the target of this
  * node makes. */
 static downstream_overload
 downstream_worst_callee(const downstream_table *table, int64_t now_us)
 {
-    downstream_overload worst = {0, 0};
+    downstream_overload worst = {0, 0, 0};
     GHashTableIter iter;
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, table->routes);
@@ -115,6 +146,66 @@
     return worst;
 }
 
+/* The same, of the calls that runs of one route make. */
+static downstream_overload
+downstream_worst_callee_of(downstream_table *table, uint32_t route,
+                           int64_t now_us)
+{
+    downstream_overload worst = {0, 0, 0};
+    GHashTableIter iter;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, table->routes);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const downstream_route *entry = value;
+        if (now_us - entry->reported_at_us <= DOWNSTREAM_REPORT_MAX_AGE_US &&
+            entry->chain_overload.factor > worst.factor &&
+            call_rate_per_run(&table->calls, route, GPOINTER_TO_UINT(key),
+                              now_us) >= CALL_RATE_DEPENDS_MIN) {
+            worst = entry->chain_overload;
+        }
+    }
+    return worst;
+}
+
+/* Returns the slot time that a run of a route takes at a service below, in us;
+ * 0 if it is not known. */
+static double
+downstream_cost_us(downstream_table *table, uint32_t route, uint32_t service,
+                   int64_t now_us)
+{
+    double cost_us = 0;
+    GHashTableIter iter;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, table->routes);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const downstream_route *entry = value;
+        if (entry->chain_overload.service == service) {
+            cost_us += entry->chain_overload.cost_us *
+                       call_rate_per_run(&table->calls, route,
+                                         GPOINTER_TO_UINT(key), now_us);
+        }
+    }
+    return cost_us;
+}
+
+/* Whether runs of any route fail more often than by chance. */
+static bool
+downstream_is_any_failing(const downstream_table *table)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, table->routes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const downstream_route *entry = value;
+        if (entry->failure_share > DOWNSTREAM_FAILURE_SHARE_MIN) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Records the end of a run at the target of this node.  A failure while a
  * downstream service is overloaded shows that the route depends on it. */
 void
@@ -129,6 +220,10 @@
             DOWNSTREAM_OVERLOAD_FACTOR_MIN) {
         entry->depends_until_us = now_us + DOWNSTREAM_DEPENDENCY_TTL_US;
     }
+    bool usual = !downstream_is_any_failing(table) &&
+                 downstream_worst_callee(table, now_us).factor <
+                     DOWNSTREAM_BUSY_FACTOR_MIN;
+    call_rate_set_paused(&table->calls, !usual, now_us);
 }
 
 /* Records the report that came with the response to a request of this node:
@@ -150,12 +245,14 @@
                 : reported;
         entry->classified = true;
     }
-    if (entry->chain_overload.service != chain_overload->service) {
-        entry->chain_overload = *chain_overload;
+    downstream_overload *known = &entry->chain_overload;
+    if (known->service != chain_overload->service) {
+        *known = *chain_overload;
     }
-    entry->chain_overload.factor +=
-        (chain_overload->factor - entry->chain_overload.factor) *
-        DOWNSTREAM_REPORT_WEIGHT;
+    known->factor +=
+        (chain_overload->factor - known->factor) * DOWNSTREAM_REPORT_WEIGHT;
+    known->cost_us +=
+        (chain_overload->cost_us - known->cost_us) * DOWNSTREAM_REPORT_WEIGHT;
     entry->reported_at_us = now_us;
 }
 
@@ -170,13 +267,20 @@
 /* Returns the worst overload on the call chain of a route that runs at this
  * node, where `own` is that of the target itself. */
 downstream_overload
-downstream_chain_overload(const downstream_table *table, uint32_t route,
+downstream_chain_overload(downstream_table *table, uint32_t route,
                           const downstream_overload *own, int64_t now_us)
 {
     const downstream_route *entry = downstream_find(table, route);
-    if (entry == NULL || now_us > entry->depends_until_us) {
-        return *own;
+    bool failed = entry != NULL && now_us <= entry->depends_until_us;
+    downstream_overload below =
+        failed ? downstream_worst_callee(table, now_us)
+               : downstream_worst_callee_of(table, route, now_us);
+    if (below.factor > own->factor) {
+        below.cost_us =
+            downstream_cost_us(table, route, below.service, now_us);
+        return below;
     }
-    downstream_overload below = downstream_worst_callee(table, now_us);
-    return below.factor > own->factor ? below : *own;
+    below = *own;
+    below.cost_us = call_rate_run_us(&table->calls, route);
+    return below;
 }
--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -1,11 +1,17 @@
 #include "lav/overload.h"
 
+#include <glib.h>
+
+#include "lav/service_level.h"
+
 /* Counts a call that is offered for the first time; one that was rerouted
- * after a refusal elsewhere is not new demand. */
+ * after a refusal elsewhere is not new demand.  `weight` is the demand that
+ * it stands for. */
 void
-overload_count_arrival(overload_meter *meter)
+overload_count_arrival(overload_meter *meter, double weight)
 {
     meter->arrivals++;
+    meter->demand += weight;
 }
 
 /* Counts a call that ended at the target. */
@@ -22,16 +28,43 @@
     meter->held_up++;
 }
 
+/* Counts a call that was refused for lack of a slot, or waited in vain. */
+void
+overload_count_lost(overload_meter *meter)
+{
+    meter->lost++;
+}
+
+/* Moves the target factor, once per window; `waiting` are the calls in the
+ * queue at its end. */
+static void
+overload_adapt_target(overload_meter *meter, int limit, int waiting)
+{
+    double change = OVERLOAD_TARGET_INCREASE;
+    if (waiting > limit * OVERLOAD_QUEUE_STANDING ||
+        meter->lost > meter->arrivals * OVERLOAD_LOST_STANDING) {
+        change = -OVERLOAD_TARGET_DECREASE;
+    }
+    meter->relief = CLAMP(meter->relief - change, 0,
+                          OVERLOAD_TARGET_MAX - OVERLOAD_TARGET_MIN);
+}
+
+/* Whether the target was full in the window that ends. */
+static bool
+overload_is_full(const overload_meter *meter)
+{
+    return meter->waiting > 0 ||
+           meter->held_up >
+               (meter->arrivals + meter->waiting) * OVERLOAD_HELD_UP_SHARE_MIN;
+}
+
 /* Returns the overload factor of the window that ends: the demand per call
  * served, 1 to OVERLOAD_FACTOR_MAX, if the target was full; the share of busy
  * slots otherwise. */
 static double
 overload_close_window(const overload_meter *meter, int running, int limit)
 {
-    bool full = meter->waiting > 0 ||
-                meter->held_up > (meter->arrivals + meter->waiting) *
-                                     OVERLOAD_HELD_UP_SHARE_MIN;
-    if (!full) {
+    if (!overload_is_full(meter)) {
         return limit > 0 ? (double)running / limit : 0;
     }
     double served = meter->served > 0 ? meter->served : 1;
@@ -42,19 +75,64 @@
     return factor < OVERLOAD_FACTOR_MAX ? factor : OVERLOAD_FACTOR_MAX;
 }
 
+/* Adds the window that ends to the averages of demand and capacity.  A target
+ * that was not full could have served as many calls as its slots can. */
+static void
+overload_average_window(overload_meter *meter, int limit, double call_us,
+                        int64_t window_us)
+{
+    double capacity = MAX(meter->served, 1);
+    double demand = meter->demand;
+    if (overload_is_full(meter)) {
+        demand *= 1 + OVERLOAD_QUEUE_SHARE * meter->waiting /
+                          MAX(meter->arrivals, 1);
+    }
+    else if (call_us > 0) {
+        capacity = limit * (double)window_us / call_us;
+    }
+    else {
+        return; /* no call has ended yet: how many it serves is not known */
+    }
+    double windows = (double)window_us / OVERLOAD_WINDOW_US;
+    meter->mean_demand +=
+        (demand / windows - meter->mean_demand) * OVERLOAD_WINDOW_WEIGHT;
+    meter->mean_capacity +=
+        (capacity / windows - meter->mean_capacity) * OVERLOAD_WINDOW_WEIGHT;
+}
+
 /* Returns the demand per call that the target serves, a moving average, and
  * closes a window that is over.  `running`, `limit` and `waiting` are the
- * current values. */
+ * current values, `call_us` the mean time of a call; 0: not known. */
 double
 overload_factor(overload_meter *meter, int running, int limit, int waiting,
-                int64_t now_us)
+                double call_us, int64_t now_us)
 {
     if (now_us - meter->since_us >= OVERLOAD_WINDOW_US) {
         meter->factor +=
             (overload_close_window(meter, running, limit) - meter->factor) *
             OVERLOAD_WINDOW_WEIGHT;
-        *meter = (overload_meter){
-            .since_us = now_us, .waiting = waiting, .factor = meter->factor};
+        overload_average_window(meter, limit, call_us,
+                                now_us - meter->since_us);
+        overload_adapt_target(meter, limit, waiting);
+        *meter = (overload_meter){.since_us = now_us,
+                                  .waiting = waiting,
+                                  .relief = meter->relief,
+                                  .factor = meter->factor,
+                                  .mean_demand = meter->mean_demand,
+                                  .mean_capacity = meter->mean_capacity};
     }
     return meter->factor;
 }
+
+/* Returns the share of the requests that lead here that can be admitted, as of
+ * the last window: SERVICE_LEVEL_MIN to SERVICE_LEVEL_MAX. */
+double
+overload_level(const overload_meter *meter)
+{
+    if (meter->mean_demand <= 0 || meter->mean_capacity <= 0) {
+        return SERVICE_LEVEL_MAX;
+    }
+    double target = OVERLOAD_TARGET_MAX - meter->relief;
+    return CLAMP(target * meter->mean_capacity / meter->mean_demand,
+                 SERVICE_LEVEL_MIN, SERVICE_LEVEL_MAX);
+}
--- a/src/flow/attempt.h
+++ b/src/flow/attempt.h
@@ -48,6 +48,7 @@
     bool rerouted;   /* another node refused it before */
     bool resent;     /* the same target refused it before */
     double retry_probability; /* probability that this attempt is a retry */
+    double weight;            /* the demand that it stands for */
     int64_t arrived_us;
     int64_t deadline_us; /* when the caller stops waiting */
     int64_t objective_us;
--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -215,6 +215,12 @@
         /* The peer's target is another instance than its record says. */
         prober_mark_unreachable(f->n->prober, f->member);
     }
+    runtime_merge_levels(f->n, &f->response.levels);
+    if (f->response.outcome == OUTCOME_DONE && f->response.own_level > 0) {
+        runtime_merge_target_level(f->n,
+                                   runtime_member_service(f->n, f->member),
+                                   f->response.own_level);
+    }
     runtime_record_overload(f->n, f->r->route, f->response.origin,
                             &f->response.chain_overload);
     f->n->last_peer_contact_us = f->n->l->now_us;
@@ -299,8 +305,10 @@
                        .resent = r->resent,
                        .retry_probability = r->retry_probability,
                        .idempotent = r->idempotent,
+                       .weight = r->weight,
                        .rate = instance_get_rate(f->n->fleet, f->member)};
     g_strlcpy(hop.instance, instance, sizeof(hop.instance));
+    runtime_list_levels(&hop.levels, f->n, 0);
     if (hop.time_left_us < 0) {
         hop.time_left_us = 0;
     }
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -252,7 +252,10 @@
     r->retry_probability =
         r->depth > 0 ? retry_share_get(n->retry_shares, n->l->now_us) : 0;
     retry_budget_window *budget = runtime_retry_budget(n, q->service);
+    r->weight = 1;
     if (r->depth > 0) {
+        r->weight =
+            downstream_record_call(n->downstream, route->key, n->l->now_us);
         retry_budget_add_call(budget, r->retry_probability, n->l->now_us);
     }
     else {
@@ -293,6 +296,11 @@
                                REASON_EARLY_REFUSAL);
         return HTTP_CONN_ACCEPT;
     }
+    if (q->r.depth == 0) {
+        q->r.weight =
+            1 / shedder_get_limit(s->n->shedder, route->key, s->n->l->now_us)
+                    .level;
+    }
     frontend_start_attempt(q);
     return HTTP_CONN_ACCEPT;
 }
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -43,6 +43,8 @@
             &q->attempt.handle.local, n->local, &q->r, runtime_random(),
             &frontend_attempt_callbacks, q, failure);
         if (result == 0) {
+            runtime_merge_target_level(n, n->service_hash,
+                                       local_target_level(n->local));
             q->attempt.kind = FRONTEND_ATTEMPT_LOCAL;
         }
         else {
--- a/src/flow/frontend_log.c
+++ b/src/flow/frontend_log.c
@@ -39,18 +39,20 @@
     }
     const instance_record *last = instance_get(n->fleet, q->last_member);
     bool routed = q->r.deadline_us != 0; /* false: refused before routing */
+    service_level_report limit =
+        shedder_get_limit(n->shedder, q->r.route, n->l->now_us);
     int64_t time_left_us = routed ? q->r.deadline_us - n->l->now_us : 0;
     log_event(LOG_INFO, "answer", q->r.id,
-              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I}", "status",
-              status, "reason", reason_name(reason), "service", q->service,
-              "waited_us", (json_int_t)(n->l->now_us - q->r.arrived_us),
-              "left_us", (json_int_t)time_left_us, "attempts_left",
-              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth,
-              "last_node", last == NULL ? "" : last->node, "begun_share",
-              shedder_get_level(n->shedder, q->r.route), "held_back_by",
-              instance_service_name(
-                  n->fleet, shedder_limiting_service(n->shedder, q->r.route)),
-              "desired", (json_int_t)runtime_config_version(n));
+              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I,s:I}",
+              "status", status, "reason", reason_name(reason), "service",
+              q->service, "waited_us",
+              (json_int_t)(n->l->now_us - q->r.arrived_us), "left_us",
+              (json_int_t)time_left_us, "attempts_left", q->attempts_left,
+              "moves", q->reroutes, "depth", q->r.depth, "last_node",
+              last == NULL ? "" : last->node, "begun_share", limit.level,
+              "held_back_by", instance_service_name(n->fleet, limit.service),
+              "level_age_us", (json_int_t)limit.age_us, "desired",
+              (json_int_t)runtime_config_version(n));
 }
 
 /* Logs a failed attempt and its reason. */
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -6,11 +6,13 @@
 
 #include "lav/err.h"
 
-#define HOP_VALUE_SIZE 256        /* bytes of a field value, with the NUL */
-#define HOP_REQUEST_VALUES_MIN 13 /* older nodes don't send the rate limit */
+#define HOP_VALUE_SIZE 384 /* bytes of a field value, with the NUL */
+
+/* Older nodes send neither the rate limit nor the weight. */
+#define HOP_REQUEST_VALUES_MIN 13
 
 /* Older nodes send neither the nonce, nor whether they take retries, nor the
- * rate limit. */
+ * rate limit, nor the cost and the level. */
 #define HOP_RESPONSE_VALUES_MIN 13
 
 #define HOP_PERMILLE 1000
@@ -18,6 +20,7 @@
 #define HOP_REROUTED 1       /* flags of a request */
 #define HOP_RESENT 2
 #define HOP_CALLS_MAX 1000000            /* calls; a larger value is invalid */
+#define HOP_WEIGHT_MAX_PERMILLE 1000000  /* a larger weight is invalid */
 #define HOP_DURATION_MAX_US 3600000000LL /* 1 h; a longer one is invalid */
 
 /* Returns a rate limit as it is written, in thousandths of a request a
@@ -37,6 +40,40 @@
                      : (instance_rate){true, (double)value / HOP_PERMILLE};
 }
 
+/* Appends the levels to a header line, and its end. */
+static void
+hop_write_levels(bytebuf *out, const hop_levels *levels)
+{
+    for (int i = 0; i < levels->count; i++) {
+        const service_level_report *level = &levels->list[i];
+        bytebuf_appendf(out, " %" PRIx32 " %d %" PRId64, level->service,
+                        (int)(level->level * HOP_PERMILLE), level->age_us);
+    }
+    bytebuf_append_text(out, "\r\n");
+}
+
+/* Parses the levels that hop_write_levels() wrote at the end of a header
+ * value; ERR_INVALID if one of them is out of range. */
+static int
+hop_read_levels(hop_levels *out, const char *text)
+{
+    int used = 0;
+    int level_permille = 0;
+    service_level_report level = {0};
+    while (out->count < HOP_LEVELS_MAX &&
+           sscanf(text, "%" SCNx32 " %d %" SCNd64 "%n", &level.service,
+                  &level_permille, &level.age_us, &used) == 3) {
+        level.level = (double)level_permille / HOP_PERMILLE;
+        if (level.level < 0 || level.level > SERVICE_LEVEL_MAX ||
+            level.age_us < 0 || level.age_us > HOP_DURATION_MAX_US) {
+            return ERR_INVALID;
+        }
+        out->list[out->count++] = level;
+        text += used;
+    }
+    return 0;
+}
+
 /* Appends the header line that accompanies a forwarded request. */
 void
 hop_write_request(bytebuf *out, const hop_request *request)
@@ -46,13 +83,15 @@
     bytebuf_appendf(out,
                     HOP_HEADER ": %" PRIx64 " %" PRIx64 " %" PRId64 " %" PRId64
                                " %d %d %d %d %" PRIx32 " %" PRIx32
-                               " %d %d %s %" PRId64 "\r\n",
+                               " %d %d %s %" PRId64 " %d",
                     request->config_version, request->nonce,
                     request->time_left_us, request->objective_us,
                     request->priority, request->peer_port, request->depth,
                     request->idempotent, request->route, request->origin,
                     flags, (int)(request->retry_probability * HOP_PERMILLE),
-                    request->instance, hop_encode_rate(&request->rate));
+                    request->instance, hop_encode_rate(&request->rate),
+                    (int)(request->weight * HOP_PERMILLE));
+    hop_write_levels(out, &request->levels);
 }
 
 /* Parses the value of a request's header field; ERR_INVALID if a part is
@@ -65,18 +104,24 @@
     int flags = 0;
     int retry_permille = 0;
     int64_t rate = HOP_NOT_LIMITED;
+    int weight_permille = HOP_PERMILLE;
+    int levels_at = 0;
     *out = (hop_request){0};
     if (!http_str_copy(text, sizeof(text), value) ||
         sscanf(text,
                "%" SCNx64 " %" SCNx64 " %" SCNd64 " %" SCNd64
-               " %d %d %d %d %" SCNx32 " %" SCNx32 " %d %d %95s %" SCNd64,
+               " %d %d %d %d %" SCNx32 " %" SCNx32 " %d %d %95s %" SCNd64
+               " %d%n",
                &out->config_version, &out->nonce, &out->time_left_us,
                &out->objective_us, &out->priority, &out->peer_port,
                &out->depth, &idempotent, &out->route, &out->origin, &flags,
-               &retry_permille, out->instance,
-               &rate) < HOP_REQUEST_VALUES_MIN) {
+               &retry_permille, out->instance, &rate, &weight_permille,
+               &levels_at) < HOP_REQUEST_VALUES_MIN ||
+        hop_read_levels(&out->levels, levels_at > 0 ? text + levels_at : "") <
+            0) {
         return ERR_INVALID;
     }
+    out->weight = (double)weight_permille / HOP_PERMILLE;
     out->idempotent = idempotent == 1;
     out->rate = hop_decode_rate(rate);
     out->rerouted = (flags & HOP_REROUTED) != 0;
@@ -87,7 +132,8 @@
         out->objective_us > 0 && out->objective_us <= HOP_DURATION_MAX_US &&
         out->priority >= 0 && retry_permille >= 0 &&
         retry_permille <= HOP_PERMILLE && out->depth >= 0 &&
-        out->peer_port > 0 && out->peer_port <= UINT16_MAX;
+        out->peer_port > 0 && out->peer_port <= UINT16_MAX &&
+        weight_permille > 0 && weight_permille <= HOP_WEIGHT_MAX_PERMILLE;
     return valid ? 0 : ERR_INVALID;
 }
 
@@ -99,13 +145,16 @@
     bytebuf_appendf(
         out,
         HOP_HEADER ": %d %d %d %" PRIx64 " %" PRIx64 " %d %d %d %d %d %" PRIx32
-                   " %d %d %" PRIx64 " %d %" PRId64 "\r\n",
+                   " %d %d %" PRIx64 " %d %" PRId64 " %" PRId64 " %d",
         (int)response->outcome, (int)response->reason, response->reached,
         response->config_version, response->incarnation, r->busy, r->limit,
         r->failures_permille, (int)r->state, (int)response->origin,
         response->chain_overload.service,
         (int)(response->chain_overload.factor * HOP_PERMILLE), r->call_us,
-        response->nonce, r->no_retries, hop_encode_rate(&r->rate));
+        response->nonce, r->no_retries, hop_encode_rate(&r->rate),
+        (int64_t)response->chain_overload.cost_us,
+        (int)(response->own_level * HOP_PERMILLE));
+    hop_write_levels(out, &response->levels);
 }
 
 /* Parses the value of a response's header field; ERR_INVALID if a part is
@@ -122,20 +171,26 @@
     int overload_permille = 0;
     int no_retries = 0;
     int64_t rate = HOP_NOT_LIMITED;
+    int64_t cost_us = 0;
+    int level_permille = 0;
+    int levels_at = 0;
     *out = (hop_response){0};
     instance_load_report *r = &out->report;
     if (!http_str_copy(text, sizeof(text), value)) {
         return ERR_INVALID;
     }
-    int values = sscanf(
-        text,
-        "%d %d %d %" SCNx64 " %" SCNx64 " %d %d %d %d %d %" SCNx32
-        " %d %d %" SCNx64 " %d %" SCNd64,
-        &outcome, &reason, &reached, &out->config_version, &out->incarnation,
-        &r->busy, &r->limit, &r->failures_permille, &state, &origin,
-        &out->chain_overload.service, &overload_permille, &r->call_us,
-        &out->nonce, &no_retries, &rate);
-    if (values < HOP_RESPONSE_VALUES_MIN) {
+    int values =
+        sscanf(text,
+               "%d %d %d %" SCNx64 " %" SCNx64 " %d %d %d %d %d %" SCNx32
+               " %d %d %" SCNx64 " %d %" SCNd64 " %" SCNd64 " %d%n",
+               &outcome, &reason, &reached, &out->config_version,
+               &out->incarnation, &r->busy, &r->limit, &r->failures_permille,
+               &state, &origin, &out->chain_overload.service,
+               &overload_permille, &r->call_us, &out->nonce, &no_retries,
+               &rate, &cost_us, &level_permille, &levels_at);
+    if (values < HOP_RESPONSE_VALUES_MIN ||
+        hop_read_levels(&out->levels, levels_at > 0 ? text + levels_at : "") <
+            0) {
         return ERR_INVALID;
     }
     bool valid = outcome >= OUTCOME_DONE && outcome <= OUTCOME_UNKNOWN &&
@@ -143,7 +198,9 @@
                  r->busy <= HOP_CALLS_MAX && r->limit >= 0 &&
                  r->limit <= HOP_CALLS_MAX && r->failures_permille >= 0 &&
                  r->failures_permille <= HOP_PERMILLE &&
-                 overload_permille >= 0 && r->call_us >= 0 &&
+                 overload_permille >= 0 && r->call_us >= 0 && cost_us >= 0 &&
+                 cost_us <= HOP_DURATION_MAX_US && level_permille >= 0 &&
+                 level_permille <= (int)(SERVICE_LEVEL_MAX * HOP_PERMILLE) &&
                  state >= INSTANCE_STARTING && state <= INSTANCE_GONE &&
                  origin >= ORIGIN_UNKNOWN && origin <= ORIGIN_INTERNAL;
     if (!valid) {
@@ -157,5 +214,7 @@
     r->state = (enum instance_state)state;
     out->origin = (enum origin_kind)origin;
     out->chain_overload.factor = (double)overload_permille / HOP_PERMILLE;
+    out->chain_overload.cost_us = (double)cost_us;
+    out->own_level = (double)level_permille / HOP_PERMILLE;
     return 0;
 }
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -14,9 +14,19 @@
 #include "lav/downstream.h"
 #include "lav/instance.h"
 #include "lav/reason.h"
+#include "lav/service_level.h"
 
 #define HOP_HEADER "Lav-Hop"
 
+/* Admission levels passed on with a request or a response, at most. */
+#define HOP_LEVELS_MAX 2
+
+/* Admission levels that the sender knows. */
+typedef struct hop_levels {
+    service_level_report list[HOP_LEVELS_MAX];
+    int count;
+} hop_levels;
+
 /* Sent with a forwarded request. */
 typedef struct hop_request {
     uint64_t config_version; /* that the sender routed by */
@@ -34,6 +44,8 @@
     bool idempotent;
     char instance[INSTANCE_NAME_SIZE]; /* the only one that may run it */
     instance_rate rate; /* that the instance has named, to the sender */
+    double weight;      /* the demand that it stands for */
+    hop_levels levels;
 } hop_request;
 
 /* Sent with the response. */
@@ -48,6 +60,8 @@
     downstream_overload
         chain_overload; /* worst overload on the route's call chain */
     uint64_t nonce;     /* of the attempt; 0: from an older node */
+    double own_level;   /* that the target measures; 0: an older node */
+    hop_levels levels;  /* of other services */
 } hop_response;
 
 void hop_write_request(bytebuf *out, const hop_request *request);
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -37,6 +37,7 @@
     evloop_update_now(t->n->l);
     admission_refusal refusal;
     while (admission_pop_expired(&refusal, t->admission, t->n->l->now_us)) {
+        overload_count_lost(&t->overload);
         local_target_fail_call(t->calls[refusal.handle], OUTCOME_NOT_RUN,
                                refusal.reason, false);
     }
@@ -132,6 +133,14 @@
         .no_retries = !runtime_takes_retries(t->n)};
 }
 
+/* Returns the share of the requests that lead here that can be admitted, as
+ * the target measures it. */
+double
+local_target_level(const local_target *t)
+{
+    return overload_level(&t->overload);
+}
+
 /* Returns the worst overload on the call chain of a route that runs here. */
 downstream_overload
 local_target_overload(local_target *t, uint32_t route)
@@ -141,7 +150,10 @@
         t->n->service_hash,
         overload_factor(&t->overload, admission_in_flight_count(t->admission),
                         local_target_concurrency(t),
-                        admission_queued_count(t->admission), now_us)};
+                        admission_queued_count(t->admission), t->call_us,
+                        now_us),
+        0};
+    local_target_log_level(t);
     return downstream_chain_overload(t->n->downstream, route, &own, now_us);
 }
 
@@ -240,7 +252,7 @@
     downstream_record_arrival(t->n->downstream, r->route, r->origin,
                               runtime_service_share, t->n);
     if (!r->rerouted) {
-        overload_count_arrival(&t->overload);
+        overload_count_arrival(&t->overload, r->weight);
     }
     target_queue_request request = {.handle = call->handle,
                                     .rank = id_rank(r->id),
@@ -256,6 +268,7 @@
     switch (verdict.decision) {
     case ADMISSION_REFUSED:
         overload_count_held_up(&t->overload);
+        overload_count_lost(&t->overload);
         dispatch_mark_refused(t->dispatches, nonce);
         local_target_call_free(call);
         return local_target_refuse(refused, verdict.reason);
@@ -300,6 +313,8 @@
     if (call->begun) {
         retry_share_end_run(call->target->n->retry_shares, call->r->route,
                             call->retry_probability);
+        downstream_end_run(call->target->n->downstream, call->r->route,
+                           call->target->n->l->now_us);
     }
 }
 
--- a/src/flow/local_target.h
+++ b/src/flow/local_target.h
@@ -42,6 +42,7 @@
 void local_target_end_calls(local_target *t);
 bool local_target_revoke_attempt(local_target *t, uint64_t nonce);
 instance_load_report local_target_load_report(const local_target *t);
+double local_target_level(const local_target *t);
 downstream_overload local_target_overload(local_target *t, uint32_t route);
 void local_target_log_failure(const local_target *t, const attempt_request *r,
                               const attempt_failure *failure);
--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -320,6 +320,8 @@
     call->retry_probability = call->r->retry_probability;
     retry_share_begin_run(t->n->retry_shares, call->r->route,
                           call->retry_probability, t->n->l->now_us);
+    downstream_begin_run(t->n->downstream, call->r->route, call->r->weight,
+                         t->n->l->now_us);
     local_target_write_head(call);
     local_target_send_body(call);
     return 0;
--- a/src/flow/local_target_log.c
+++ b/src/flow/local_target_log.c
@@ -3,6 +3,9 @@
 #include "lav/log.h"
 #include "local_target_private.h"
 
+/* Largest number of lines per second about the admission level. */
+#define LOCAL_TARGET_LEVEL_LINES_PER_S 2
+
 /* Logs why a request was refused or failed, with the load figures behind the
  * decision. */
 void
@@ -52,3 +55,21 @@
               admission_get_limit(t->admission), "waiting",
               admission_queued_count(t->admission), "depth", r->depth);
 }
+
+/* Logs the admission level that the target measures, while it limits requests,
+ * and what it follows from. */
+void
+local_target_log_level(const local_target *t)
+{
+    double level = overload_level(&t->overload);
+    if (level >= 1 ||
+        !log_allow_line("level", LOCAL_TARGET_LEVEL_LINES_PER_S)) {
+        return;
+    }
+    log_event(LOG_INFO, "level", NULL, "{s:f,s:f,s:f,s:f,s:i,s:i}", "level",
+              level, "demand", t->overload.mean_demand, "capacity",
+              t->overload.mean_capacity, "target",
+              OVERLOAD_TARGET_MAX - t->overload.relief, "running",
+              admission_in_flight_count(t->admission), "waiting",
+              admission_queued_count(t->admission));
+}
--- a/src/flow/peer_server.c
+++ b/src/flow/peer_server.c
@@ -82,7 +82,9 @@
         .incarnation = n->self.incarnation,
         .report = local_target_load_report(n->local),
         .origin = downstream_route_origin(n->downstream, hop->route),
-        .chain_overload = local_target_overload(n->local, hop->route)};
+        .chain_overload = local_target_overload(n->local, hop->route),
+        .own_level = local_target_level(n->local)};
+    runtime_list_levels(&response.levels, n, n->service_hash);
     hop_write_response(fields, &response);
 }
 
@@ -218,6 +220,7 @@
     q->r.rerouted = hop->rerouted;
     q->r.resent = hop->resent;
     q->r.retry_probability = hop->retry_probability;
+    q->r.weight = hop->weight;
     return q;
 }
 
@@ -246,6 +249,7 @@
         return HTTP_CONN_CLOSED;
     }
     n->last_peer_contact_us = n->l->now_us;
+    runtime_merge_levels(n, &hop.levels);
     if (hop.config_version > runtime_config_version(n)) {
         struct sockaddr_in from = *http_conn_peer(c);
         from.sin_port = htons((uint16_t)hop.peer_port);
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -73,7 +73,7 @@
          instance_new(&n->fleet, runtime_random()) < 0 ||
          downstream_new(&n->downstream) < 0 ||
          retry_share_new(&n->retry_shares) < 0 ||
-         shedder_new(&n->shedder) < 0)) {
+         shedder_new(&n->shedder, &n->levels, runtime_random()) < 0)) {
         result = ERR_SET(e, ERR_IO, "the event loop cannot be created");
     }
     if (result < 0) {
@@ -216,6 +216,34 @@
     }
 }
 
+/* Takes the admission level that a target measures, as it serves a call of
+ * this node.  Refusals don't count: a target that is slower than others refuses
+ * more calls. */
+void
+runtime_merge_target_level(runtime *n, uint32_t service, double level)
+{
+    service_level_report report = {service, level, 0, true};
+    service_level_merge(&n->levels, &report, n->l->now_us);
+}
+
+/* Takes the admission levels that came with a request or a response. */
+void
+runtime_merge_levels(runtime *n, const hop_levels *levels)
+{
+    for (int i = 0; i < levels->count; i++) {
+        service_level_merge(&n->levels, &levels->list[i], n->l->now_us);
+    }
+}
+
+/* Lists the admission levels to send along with a request or a response, but
+ * for that of the service `except`. */
+void
+runtime_list_levels(hop_levels *out, const runtime *n, uint32_t except)
+{
+    out->count = service_level_list(out->list, HOP_LEVELS_MAX, &n->levels,
+                                    except, n->l->now_us);
+}
+
 /* Advances this node's incarnation past that of a record announced by an
  * earlier start.  If the clock was set back between the starts, the earlier
  * incarnation is not lower, and peers would discard everything that this start
@@ -263,6 +291,15 @@
     return true;
 }
 
+/* Returns the hash of the name of a member's service; 0 if there is no such
+ * member. */
+uint32_t
+runtime_member_service(const runtime *n, int member)
+{
+    const instance_record *record = instance_get(n->fleet, member);
+    return record == NULL ? 0 : (uint32_t)id_hash(record->service);
+}
+
 /* Returns the fraction of the fleet's nodes that belong to a service;
  * `payload` is the runtime. */
 double
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -12,6 +12,7 @@
 
 #include "http_conn.h"
 #include "conn_pool.h"
+#include "hop.h"
 #include "lav/proxycfg.h"
 #include "lav/downstream.h"
 #include "lav/instance.h"
@@ -64,8 +65,9 @@
     instance_table *fleet;
     downstream_table *downstream; /* overload below each route */
     retry_share_table
-        *retry_shares;      /* share of retries in the target's runs */
-    shedder_state *shedder; /* load shedding of external requests */
+        *retry_shares;          /* share of retries in the target's runs */
+    shedder_state *shedder;     /* load shedding of external requests */
+    service_level_table levels; /* admission levels that it follows */
     instance_record self;
     uint32_t service_hash; /* of the name of the local target's service */
     int self_member;       /* in the fleet, or INSTANCE_NONE */
@@ -101,8 +103,12 @@
 void runtime_record_overload(runtime *n, uint32_t route,
                              enum origin_kind origin,
                              const downstream_overload *chain_overload);
+void runtime_merge_target_level(runtime *n, uint32_t service, double level);
+void runtime_merge_levels(runtime *n, const hop_levels *levels);
+void runtime_list_levels(hop_levels *out, const runtime *n, uint32_t except);
 int64_t runtime_drain_cutoff_us(const runtime *n);
 bool runtime_takes_retries(runtime *n);
+uint32_t runtime_member_service(const runtime *n, int member);
 double runtime_service_share(uint32_t service, void *payload);
 bool runtime_is_ready(const runtime *n);
 uint64_t runtime_random(void);
--- a/tests/unit/origin_test.c
+++ b/tests/unit/origin_test.c
@@ -80,7 +80,7 @@
 Test(origin, classification_follows_most_reports)
 {
     static const uint32_t route = 7;
-    downstream_overload none = {0, 0};
+    downstream_overload none = {0, 0, 0};
     downstream_table *c = NULL;
     cr_assert_eq(downstream_new(&c), 0);
     cr_expect_not(downstream_is_internal(c, route));
