--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -22,7 +22,9 @@
     HARNESS_STORE_UP,
     HARNESS_STORE_UNAVAILABLE, /* responds 503 and changes nothing */
     HARNESS_STORE_HANGS,       /* reads the request and never responds */
-    HARNESS_STORE_LOSES_REPLY  /* applies a write and closes the connection */
+    HARNESS_STORE_LOSES_REPLY, /* applies a write and closes the connection */
+    HARNESS_STORE_MIXES_UP     /* answers a write with an earlier poll's 200
+                                * and changes nothing */
 };
 
 /* Health status of a target that answers with bytes without end. */
@@ -58,6 +60,8 @@
 void harness_set_store_mode(enum harness_store_mode mode);
 int harness_store_write_count(void);
 int harness_store_read_count(void);
+void harness_set_store_stale_ms(int stale_ms);
+int harness_store_stale_read_count(const char *kind);
 void harness_store_put(const char *kind, const char *name, const char *spec);
 void harness_store_put_raw(const char *kind, const char *name,
                            const char *text);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "harness_private.h"
+#include "lav/clock.h"
 
 /* The stand-in of the platform's store: objects by kind and name with
  * revisions, conditional writes and watches as long polls. */
@@ -22,6 +23,7 @@
 
 typedef struct harness_event {
     long revision;
+    int64_t at_us;
     char kind[32];
     json_t *event;
 } harness_event;
@@ -38,6 +40,8 @@
                                        * from before gets 410 */
 static int harness_store_writes;
 static int harness_store_reads;
+static int harness_store_stale_ms;      /* age of the data of stale reads */
+static GHashTable *harness_stale_reads; /* kind -> count */
 static enum harness_store_mode harness_current_store_mode;
 
 /* Set how the store handles the requests that arrive from now on. */
@@ -69,6 +73,44 @@
     return reads;
 }
 
+/* Stale reads don't see the changes of the last `stale_ms`. */
+void
+harness_set_store_stale_ms(int stale_ms)
+{
+    pthread_mutex_lock(&harness_lock);
+    harness_store_stale_ms = stale_ms;
+    pthread_mutex_unlock(&harness_lock);
+}
+
+/* Reads of a kind that allowed stale data. */
+int
+harness_store_stale_read_count(const char *kind)
+{
+    pthread_mutex_lock(&harness_lock);
+    int reads =
+        harness_stale_reads == NULL
+            ? 0
+            : GPOINTER_TO_INT(g_hash_table_lookup(harness_stale_reads, kind));
+    pthread_mutex_unlock(&harness_lock);
+    return reads;
+}
+
+/* Count a read that allows stale data. */
+static void
+harness_count_stale_read(const char *kind)
+{
+    pthread_mutex_lock(&harness_lock);
+    if (harness_stale_reads == NULL) {
+        harness_stale_reads =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    }
+    int reads =
+        GPOINTER_TO_INT(g_hash_table_lookup(harness_stale_reads, kind));
+    g_hash_table_insert(harness_stale_reads, g_strdup(kind),
+                        GINT_TO_POINTER(reads + 1));
+    pthread_mutex_unlock(&harness_lock);
+}
+
 /* Empty the store; revisions continue from the last one. */
 void
 harness_store_reset(void)
@@ -86,6 +128,10 @@
     }
     harness_current_store_mode = HARNESS_STORE_UP;
     harness_store_writes = 0;
+    harness_store_stale_ms = 0;
+    if (harness_stale_reads != NULL) {
+        g_hash_table_remove_all(harness_stale_reads);
+    }
 }
 
 static harness_object *
@@ -114,6 +160,7 @@
     }
     harness_event *e = &harness_events[harness_event_count++];
     e->revision = harness_revision;
+    e->at_us = clock_now_us();
     snprintf(e->kind, sizeof(e->kind), "%s", o->kind);
     e->event = json_pack("{s:O,s:b}", "object", o->object, "deleted", deleted);
 }
@@ -285,33 +332,41 @@
                      "current_rev", (json_int_t)harness_revision);
 }
 
-/* The response to a watch: the events of a kind after a revision. */
+/* The response to a watch: the events of a kind after a revision, up to
+ * `until_us`. */
 static json_t *
-harness_list_events(const char *kind, long after)
+harness_list_events(const char *kind, long after, int64_t until_us)
 {
     json_t *events = json_array();
+    long revision = harness_revision;
     for (int i = 0; i < harness_event_count; i++) {
-        if (harness_events[i].revision > after &&
-            strcmp(harness_events[i].kind, kind) == 0) {
-            json_array_append(events, harness_events[i].event);
+        const harness_event *e = &harness_events[i];
+        if (e->at_us > until_us) {
+            revision = e->revision - 1;
+            break;
+        }
+        if (e->revision > after && strcmp(e->kind, kind) == 0) {
+            json_array_append(events, e->event);
         }
     }
     return json_pack("{s:o,s:I}", "events", events, "current_rev",
-                     (json_int_t)harness_revision);
+                     (json_int_t)revision);
 }
 
 /* Wait up to 2 s for an event of a kind after a revision; ends early when the
  * store becomes unavailable. */
 static json_t *
-harness_wait_events(const char *kind, long after)
+harness_wait_events(const char *kind, long after, bool stale)
 {
     json_t *response = NULL;
     for (int i = 0; i < HARNESS_WATCH_POLLS; i++) {
         json_decref(response);
         pthread_mutex_lock(&harness_lock);
-        response = harness_list_events(kind, after);
+        int64_t age_us = stale ? harness_store_stale_ms * CLOCK_US_PER_MS : 0;
+        response = harness_list_events(kind, after, clock_now_us() - age_us);
         bool up = harness_current_store_mode == HARNESS_STORE_UP ||
-                  harness_current_store_mode == HARNESS_STORE_LOSES_REPLY;
+                  harness_current_store_mode == HARNESS_STORE_LOSES_REPLY ||
+                  harness_current_store_mode == HARNESS_STORE_MIXES_UP;
         pthread_mutex_unlock(&harness_lock);
         if (json_array_size(json_object_get(response, "events")) > 0 || !up) {
             break;
@@ -402,7 +457,11 @@
     const char *watch = strstr(request->path, "watch=");
     if (strcmp(request->method, "GET") == 0 && watch != NULL) {
         long after = strtol(watch + strlen("watch="), NULL, 10);
-        *out = harness_wait_events(kind, after);
+        bool stale = strstr(request->path, "stale_ok=1") != NULL;
+        if (stale) {
+            harness_count_stale_read(kind);
+        }
+        *out = harness_wait_events(kind, after, stale);
         return after < harness_dropped_revision ? 410 : 200;
     }
     int status = 200;
@@ -437,6 +496,11 @@
         }
         json_t *response = NULL;
         int status = mode == HARNESS_STORE_UNAVAILABLE ? 503 : 0;
+        if (mode == HARNESS_STORE_MIXES_UP &&
+            strcmp(request.method, "GET") != 0) {
+            status = 200;
+            response = json_pack("{s:[],s:i}", "events", "current_rev", 1);
+        }
         if (status == 0) {
             status = harness_handle_store_request(&response, &request);
         }
--- a/tests/integration/mesh_input_test.c
+++ b/tests/integration/mesh_input_test.c
@@ -245,3 +245,18 @@
         g_free(format);
     }
 }
+
+/* The response to an earlier request arrives in place of that to a write.  The
+ * write must not be taken for done: the entry would go on naming a target that
+ * has left. */
+Test(mesh_input, a_write_is_answered_by_an_earlier_response)
+{
+    cr_assert(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "\"ready\"")));
+    harness_set_store_mode(HARNESS_STORE_MIXES_UP);
+    cr_assert_eq(harness_send_heartbeat(1, "draining", 0), 200);
+    harness_sleep_ms(300);
+    harness_set_store_mode(HARNESS_STORE_UP);
+    cr_expect(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "\"draining\"")));
+}
