--- a/src/flow/local_target_log.c
+++ b/src/flow/local_target_log.c
@@ -66,10 +66,10 @@
         !log_allow_line("admission_level", LOCAL_TARGET_LEVEL_LINES_PER_S)) {
         return;
     }
-    log_event(LOG_INFO, "admission_level", NULL,
-              "{s:f,s:f,s:f,s:f,s:i,s:i}", "share", level, "demand",
-              t->overload.mean_demand, "capacity", t->overload.mean_capacity,
-              "target", OVERLOAD_TARGET_MAX - t->overload.relief, "running",
+    log_event(LOG_INFO, "admission_level", NULL, "{s:f,s:f,s:f,s:f,s:i,s:i}",
+              "share", level, "demand", t->overload.mean_demand, "capacity",
+              t->overload.mean_capacity, "target",
+              OVERLOAD_TARGET_MAX - t->overload.relief, "running",
               admission_in_flight_count(t->admission), "waiting",
               admission_queued_count(t->admission));
 }
