--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -64,6 +64,9 @@
 void harness_write_response(int fd, int status, const char *headers,
                             const char *body, size_t length);
 void harness_serve_store(int fd, int index);
+void harness_count_stale_read(const char *kind);
+int64_t harness_stale_age_us(void);
+void harness_reset_stale_reads(void);
 void harness_serve_target(int fd, int index);
 void harness_store_reset(void);
 void harness_target_reset(void);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -40,8 +40,6 @@
                                        * from before gets 410 */
 static int harness_store_writes;
 static int harness_store_reads;
-static int harness_store_stale_ms;      /* age of the data of stale reads */
-static GHashTable *harness_stale_reads; /* kind -> count */
 static enum harness_store_mode harness_current_store_mode;
 
 /* Set how the store handles the requests that arrive from now on. */
@@ -73,44 +71,6 @@
     return reads;
 }
 
-/* Stale reads don't see the changes of the last `stale_ms`. */
-void
-harness_set_store_stale_ms(int stale_ms)
-{
-    pthread_mutex_lock(&harness_lock);
-    harness_store_stale_ms = stale_ms;
-    pthread_mutex_unlock(&harness_lock);
-}
-
-/* Reads of a kind that allowed stale data. */
-int
-harness_store_stale_read_count(const char *kind)
-{
-    pthread_mutex_lock(&harness_lock);
-    int reads =
-        harness_stale_reads == NULL
-            ? 0
-            : GPOINTER_TO_INT(g_hash_table_lookup(harness_stale_reads, kind));
-    pthread_mutex_unlock(&harness_lock);
-    return reads;
-}
-
-/* Count a read that allows stale data. */
-static void
-harness_count_stale_read(const char *kind)
-{
-    pthread_mutex_lock(&harness_lock);
-    if (harness_stale_reads == NULL) {
-        harness_stale_reads =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    }
-    int reads =
-        GPOINTER_TO_INT(g_hash_table_lookup(harness_stale_reads, kind));
-    g_hash_table_insert(harness_stale_reads, g_strdup(kind),
-                        GINT_TO_POINTER(reads + 1));
-    pthread_mutex_unlock(&harness_lock);
-}
-
 /* Empty the store; revisions continue from the last one. */
 void
 harness_store_reset(void)
@@ -128,10 +88,7 @@
     }
     harness_current_store_mode = HARNESS_STORE_UP;
     harness_store_writes = 0;
-    harness_store_stale_ms = 0;
-    if (harness_stale_reads != NULL) {
-        g_hash_table_remove_all(harness_stale_reads);
-    }
+    harness_reset_stale_reads();
 }
 
 static harness_object *
@@ -362,7 +319,7 @@
     for (int i = 0; i < HARNESS_WATCH_POLLS; i++) {
         json_decref(response);
         pthread_mutex_lock(&harness_lock);
-        int64_t age_us = stale ? harness_store_stale_ms * CLOCK_US_PER_MS : 0;
+        int64_t age_us = stale ? harness_stale_age_us() : 0;
         response = harness_list_events(kind, after, clock_now_us() - age_us);
         bool up = harness_current_store_mode == HARNESS_STORE_UP ||
                   harness_current_store_mode == HARNESS_STORE_LOSES_REPLY ||
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -6,6 +6,8 @@
 
 #define MESH_TRIES 200
 #define MESH_PAUSE_MS 50 /* below the rate where the log omits lines */
+#define MESH_COUNTED_CALLS 30
+#define MESH_COUNTED_PAUSE_MS 20
 
 static const char *const services[] = {"near", "far", "far"};
 
@@ -31,6 +33,24 @@
     return reached;
 }
 
+/* Send calls that only the target beside node 1 would execute; `prefix` begins
+ * their ids.  Returns how many it did. */
+int
+mesh_count_runs_of_node1(const char *prefix)
+{
+    int runs = 0;
+    for (int i = 0; i < MESH_COUNTED_CALLS; i++) {
+        char id[32];
+        harness_response response;
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        harness_call(&response, 0, "POST", "/n/shed-at-2", id, "", 0);
+        runs += harness_run_count(id);
+        harness_free_response(&response);
+        harness_sleep_ms(MESH_COUNTED_PAUSE_MS);
+    }
+    return runs;
+}
+
 /* Start the deployment with options. */
 void
 mesh_start_with(const harness_options *opts)
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -8,30 +8,11 @@
 #include "lav/clock.h"
 #include "mesh.h"
 
-#define CALLS 30
-#define CALL_PAUSE_MS 20
+#define CALLS 30 /* at the same time */
 
 TestSuite(mesh_restart, .init = mesh_start, .fini = harness_stop,
           .timeout = 60);
 
-/* Send calls that only the target beside node 1 would execute.  Returns how
- * many it did. */
-static int
-count_served_by_node1(const char *prefix)
-{
-    int served = 0;
-    for (int i = 0; i < CALLS; i++) {
-        char id[32];
-        harness_response response;
-        snprintf(id, sizeof(id), "%s-%d", prefix, i);
-        harness_call(&response, 0, "POST", "/n/shed-at-2", id, "", 0);
-        served += harness_run_count(id);
-        harness_free_response(&response);
-        harness_sleep_ms(CALL_PAUSE_MS);
-    }
-    return served;
-}
-
 /* The target deregisters during an outage of the store, and the node that
  * acknowledged it is killed.  The store's entry still says that the target is
  * ready, but it must not get requests. */
@@ -44,7 +25,7 @@
     harness_set_store_mode(HARNESS_STORE_UP);
     cr_assert(harness_wait_ready(1));
     harness_sleep_ms(500);
-    cr_expect_eq(count_served_by_node1("left"), 0);
+    cr_expect_eq(mesh_count_runs_of_node1("left"), 0);
 }
 
 /* Another process has the target's address when the node is back: it must not
@@ -58,7 +39,7 @@
     harness_start_node(1);
     harness_set_store_mode(HARNESS_STORE_UP);
     cr_assert(harness_wait_ready(1));
-    cr_expect_eq(count_served_by_node1("other"), 0);
+    cr_expect_eq(mesh_count_runs_of_node1("other"), 0);
     cr_expect_not(harness_log_contains(1, "target_adopted"));
 }
 
@@ -68,7 +49,7 @@
     mesh_restart_node(1);
     cr_assert(harness_wait_ready(1));
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_adopted")));
-    cr_expect_gt(count_served_by_node1("lives"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("lives"), 0);
 }
 
 /* Send calls that hang, then cancel them.  Returns how many ran at the target
@@ -109,7 +90,7 @@
     int at_node1 = count_hanging_at_node1("held");
     cr_expect_leq(at_node1, 1, "%d", at_node1);
     harness_set_target_health(1, 200, "1,0,40");
-    cr_assert(HARNESS_WAIT_FOR(count_served_by_node1("after") > 0));
+    cr_assert(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("after") > 0));
     cr_expect(harness_log_contains(1, "earlier_calls_over"));
 }
 
@@ -145,7 +126,7 @@
     harness_replace_instance(1, "i-new");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-new")));
-    cr_expect_gt(count_served_by_node1("ahead"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("ahead"), 0);
 }
 
 /* The target goes down and starts again on a host whose clock was set back, so
@@ -153,12 +134,12 @@
 Test(mesh_restart, a_target_that_starts_after_its_clock_was_set_back)
 {
     harness_set_target_refusing(1, true);
-    count_served_by_node1("down");
+    mesh_count_runs_of_node1("down");
     cr_assert(harness_log_contains(1, "target_lost"));
     harness_replace_instance_clock_back(1, "i-back");
     harness_set_target_refusing(1, false);
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
-    cr_expect_gt(count_served_by_node1("back"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("back"), 0);
 }
 
 /* The target leaves and starts again under the same name; as the host's clock
@@ -169,7 +150,7 @@
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_leaves")));
     harness_replace_instance(1, "i-1");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
-    cr_expect_gt(count_served_by_node1("again"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("again"), 0);
 }
 
 typedef struct departure_case {
@@ -228,7 +209,7 @@
             cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, line)));
         }
         harness_sleep_ms(500);
-        cr_expect_eq(count_served_by_node1(instance), 0, "%s", c->name);
+        cr_expect_eq(mesh_count_runs_of_node1(instance), 0, "%s", c->name);
     }
 }
 
@@ -258,11 +239,11 @@
     cr_assert(harness_wait_ready(1));
     cr_assert_eq(harness_send_heartbeat_body(1, "i-1", late), 200);
     harness_sleep_ms(500);
-    cr_expect_eq(count_served_by_node1("unwritten"), 0);
+    cr_expect_eq(mesh_count_runs_of_node1("unwritten"), 0);
     harness_set_target_health(1, 0, "");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_adopted")));
-    cr_expect_gt(count_served_by_node1("healthy"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("healthy"), 0);
 }
 
 /* A target whose health check fails for another reason goes on with its
@@ -277,7 +258,7 @@
         char prefix[32];
         cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
         snprintf(prefix, sizeof(prefix), "seems-%d", i);
-        served = count_served_by_node1(prefix);
+        served = mesh_count_runs_of_node1(prefix);
     }
     cr_expect_gt(served, 0);
 }
@@ -313,5 +294,5 @@
     cr_expect(harness_store_spec_contains("lavnodes", "node1", "i-present"));
     harness_set_target_health(1, 0, "");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
-    cr_expect(HARNESS_WAIT_FOR(count_served_by_node1("present") > 0));
+    cr_expect(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("present") > 0));
 }
--- a/tests/integration/mesh_stale_test.c
+++ b/tests/integration/mesh_stale_test.c
@@ -8,9 +8,7 @@
 #include "mesh.h"
 
 #define STALE_MS 2000 /* the store's lag */
-#define CALLS 30
-#define CALL_PAUSE_MS 20
-#define DRAIN_MS 400 /* default of the deployment */
+#define DRAIN_MS 400  /* default of the deployment */
 
 static void
 start_stale(void)
@@ -22,24 +20,6 @@
 TestSuite(mesh_stale, .init = start_stale, .fini = harness_stop,
           .timeout = 60);
 
-/* Send calls that only the target beside node 1 would run.  Returns how many it
- * did. */
-static int
-count_run_by_node1(const char *prefix)
-{
-    int run = 0;
-    for (int i = 0; i < CALLS; i++) {
-        char id[32];
-        harness_response response;
-        snprintf(id, sizeof(id), "%s-%d", prefix, i);
-        harness_call(&response, 0, "POST", "/n/shed-at-2", id, "", 0);
-        run += harness_run_count(id);
-        harness_free_response(&response);
-        harness_sleep_ms(CALL_PAUSE_MS);
-    }
-    return run;
-}
-
 /* Only entries may be late: a desired state has to be in force in time. */
 Test(mesh_stale, only_polls_of_entries_may_be_stale)
 {
@@ -52,10 +32,10 @@
  * store's entry still says that it is ready. */
 Test(mesh_stale, a_target_that_leaves)
 {
-    cr_expect_gt(count_run_by_node1("before"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("before"), 0);
     cr_expect_eq(harness_send_heartbeat(1, "draining", 0), 200);
     harness_sleep_ms(DRAIN_MS);
-    cr_expect_eq(count_run_by_node1("leave"), 0);
+    cr_expect_eq(mesh_count_runs_of_node1("leave"), 0);
 }
 
 /* A node that starts again knows from the store's list, which is never stale,
@@ -68,7 +48,7 @@
     cr_expect_neq(harness_wait_node_exit(1), -1);
     harness_start_node(1);
     cr_assert(harness_wait_ready(1));
-    cr_expect_eq(count_run_by_node1("left"), 0);
+    cr_expect_eq(mesh_count_runs_of_node1("left"), 0);
 }
 
 /* A target that takes the place of another one gets requests as soon as its
@@ -78,5 +58,5 @@
     harness_replace_instance(1, "successor");
     cr_expect_eq(harness_send_heartbeat(1, "ready", 0), 200);
     harness_sleep_ms(STALE_MS + 1000);
-    cr_expect_gt(count_run_by_node1("successor"), 0);
+    cr_expect_gt(mesh_count_runs_of_node1("successor"), 0);
 }
