service_level: old reports are not kept up by telling each other

Cause: a report that was not newer still marked its level as limiting, so two nodes that told each other the same one kept it alive, with an age that grew without bound. The level itself lapses, but after an hour its age is out of the range that a hop field may have, and nodes would have rejected each other's requests.

Change: only a newer report counts, one older than two seconds is ignored and not passed on. The cost that a response carries is kept within the range of its item.

--- a/include/lav/service_level.h
+++ b/include/lav/service_level.h
@@ -37,7 +37,9 @@
 /* ... twofold in each such time. */
 #define SERVICE_LEVEL_DOUBLING_US 500000
 
-/* Time for which a level is reported after it last limited anything. */
+/* Time for which a level is reported after it last limited anything, and age
+ * from which on a report is ignored: nodes must not keep up an old one by
+ * telling each other. */
 #define SERVICE_LEVEL_REPORTED_US 2000000
 
 typedef struct service_level_report {
--- a/src/core/service_level.c
+++ b/src/core/service_level.c
@@ -15,11 +15,13 @@
     return NULL;
 }
 
-/* Whether an entry has limited requests so recently that it is reported. */
+/* Whether an entry has limited requests, and was measured, so recently that it
+ * is reported. */
 static bool
 service_level_is_reported(const service_level_entry *entry, int64_t now_us)
 {
-    return now_us - entry->limited_at_us <= SERVICE_LEVEL_REPORTED_US;
+    return now_us - entry->limited_at_us <= SERVICE_LEVEL_REPORTED_US &&
+           now_us - entry->measured_at_us <= SERVICE_LEVEL_REPORTED_US;
 }
 
 /* Adds an entry for a service, in place of one that is no longer reported if
@@ -43,8 +45,8 @@
 }
 
 /* Merges a report that was measured here or came from another node.  One that
- * is not newer than what is known is ignored, and so is one about a service
- * that has not been limited.  What an instance measured is averaged with those
+ * is old, or not newer than what is known, is ignored, and so is one about a
+ * service that has not been limited.  What an instance measured is averaged with those
  * of others; an average that another node made is taken as it is. */
 void
 service_level_merge(service_level_table *table,
@@ -53,7 +55,8 @@
     int64_t measured_at_us = now_us - report->age_us;
     service_level_entry *entry = service_level_find(table, report->service);
     if (entry == NULL) {
-        if (report->service == 0 || report->level >= 1) {
+        if (report->service == 0 || report->level >= 1 ||
+            report->age_us > SERVICE_LEVEL_REPORTED_US) {
             return;
         }
         entry = service_level_add(table, report->service, now_us);
@@ -62,18 +65,20 @@
         }
         entry->level = report->level;
         entry->measured_at_us = measured_at_us;
+        entry->limited_at_us = now_us;
+        return;
     }
     int64_t newer_us = measured_at_us - entry->measured_at_us;
-    if (newer_us > 0) {
-        double weight =
-            report->direct
-                ? MIN((double)newer_us / (double)SERVICE_LEVEL_AVERAGE_US, 1)
-                : 1;
-        entry->level += (report->level - entry->level) * weight;
-        entry->level =
-            CLAMP(entry->level, SERVICE_LEVEL_MIN, SERVICE_LEVEL_MAX);
-        entry->measured_at_us = measured_at_us;
+    if (newer_us <= 0) {
+        return;
     }
+    double weight =
+        report->direct
+            ? MIN((double)newer_us / (double)SERVICE_LEVEL_AVERAGE_US, 1)
+            : 1;
+    entry->level += (report->level - entry->level) * weight;
+    entry->level = CLAMP(entry->level, SERVICE_LEVEL_MIN, SERVICE_LEVEL_MAX);
+    entry->measured_at_us = measured_at_us;
     if (entry->level < 1) {
         entry->limited_at_us = now_us;
     }
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -1,5 +1,6 @@
 #include "hop.h"
 
+#include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -152,7 +153,7 @@
         response->chain_overload.service,
         (int)(response->chain_overload.factor * HOP_PERMILLE), r->call_us,
         response->nonce, r->no_retries, hop_encode_rate(&r->rate),
-        (int64_t)response->chain_overload.cost_us,
+        (int64_t)MIN(response->chain_overload.cost_us, HOP_DURATION_MAX_US),
         (int)(response->own_level * HOP_PERMILLE));
     hop_write_levels(out, &response->levels);
 }
--- a/tests/unit/level_test.c
+++ b/tests/unit/level_test.c
@@ -99,6 +99,35 @@
     cr_expect_eq(service_level_list(out, 2, &table, 0, now), 0);
 }
 
+/* Nodes that tell each other a level that nobody measures any more forget it:
+ * its age must not grow without bound. */
+Test(level, old_levels_are_not_kept_up)
+{
+    service_level_table nodes[2] = {0};
+    service_level_report told[2];
+    service_level_report low = {SERVICE, 0.25, 0, true};
+    int64_t now = CLOCK_US_PER_S;
+    service_level_merge(&nodes[0], &low, now);
+    int64_t end = now + 2 * SERVICE_LEVEL_REPORTED_US;
+    for (int from = 0; now < end; from = 1 - from) {
+        now += MS;
+        int count = service_level_list(told, 2, &nodes[from], 0, now);
+        for (int i = 0; i < count; i++) {
+            cr_expect_leq(told[i].age_us, SERVICE_LEVEL_REPORTED_US);
+            service_level_merge(&nodes[1 - from], &told[i], now);
+        }
+    }
+    for (int i = 0; i < 2; i++) {
+        cr_expect_eq(service_level_list(told, 2, &nodes[i], 0, now), 0);
+        cr_expect_float_eq(service_level_get(&nodes[i], SERVICE, now), 1,
+                           NEAR);
+    }
+    service_level_report old = {OTHER, 0.25, SERVICE_LEVEL_REPORTED_US + 1,
+                                false};
+    service_level_merge(&nodes[0], &old, now);
+    cr_expect_float_eq(service_level_get(&nodes[0], OTHER, now), 1, NEAR);
+}
+
 /* The lowest levels are reported first, and a full table keeps them. */
 Test(level, the_lowest_levels_are_reported)
 {
