--- a/lab/emu.c
+++ b/lab/emu.c
@@ -8,12 +8,10 @@
 #include "lav/retry_after.h"
 #include "lav/retry.h"
 
-#define EMU_HOP_US 500               /* one-way latency between nodes */
 #define EMU_EXPIRY_INTERVAL_US 10000 /* granularity of queue timeouts */
 #define EMU_SETTLE_S 2.0             /* after a disruption, not tallied */
 #define EMU_MEAN_WEIGHT 0.03         /* of one call in the moving average */
 #define EMU_WORK_SIGMA 0.5           /* of the log-normal work time */
-#define EMU_LEVELS_MAX 2 /* levels passed on with a request or response */
 #define EMU_RETRY_WAIT_DIVISOR                                                \
     3 /* callers wait for at most a third of their time left */
 
@@ -27,14 +25,6 @@
     emu_queue_push(m->queue, &event);
 }
 
-/* Identifier of a service or kind, used where the nodes use the hash of its
- * name; never 0, which means none. */
-static uint32_t
-emu_hash(int value)
-{
-    return (uint32_t)value + 1;
-}
-
 /* Creates a request (no parent) or a call, whose deadline is not after that of
  * its parent. */
 static emu_job *
@@ -152,78 +142,6 @@
     return (double)matching / m->node_count;
 }
 
-/* Returns the worst overload of a node's own service and those downstream of a
- * kind. */
-static downstream_overload
-emu_chain_overload(emu *m, emu_node *node, int kind)
-{
-    downstream_overload own = {
-        emu_hash(node->service),
-        overload_factor(&node->overload,
-                        admission_in_flight_count(node->admission),
-                        admission_get_limit(node->admission),
-                        admission_queued_count(node->admission),
-                        node->mean_call_us, m->now_us),
-        0};
-    return downstream_chain_overload(node->downstream, emu_hash(kind), &own,
-                                     m->now_us);
-}
-
-/* Passes the levels that a node knows on to another one, with a request or a
- * response. */
-static void
-emu_pass_levels(const emu *m, emu_node *to, const emu_node *from,
-                uint32_t except)
-{
-    service_level_report levels[EMU_LEVELS_MAX];
-    int count = service_level_list(levels, EMU_LEVELS_MAX, &from->levels,
-                                   except, m->now_us);
-    for (int i = 0; i < count; i++) {
-        levels[i].age_us += EMU_HOP_US;
-        service_level_merge(&to->levels, &levels[i], m->now_us);
-    }
-}
-
-/* Tells the node that called an instance which level it measures, and those
- * that are known beside it.  Refusals don't tell the former: an instance that
- * is slower than others refuses more calls, and would count for more. */
-static void
-emu_report_levels(const emu *m, emu_node *to, const emu_node *at, bool served)
-{
-    service_level_report own = {emu_hash(at->service),
-                                overload_level(&at->overload), EMU_HOP_US,
-                                true};
-    if (served) {
-        service_level_merge(&to->levels, &own, m->now_us);
-    }
-    emu_pass_levels(m, to, at, own.service);
-}
-
-/* Records the load report that came with a reply at the calling node. */
-static void
-emu_record_load_report(emu *m, const emu_job *job)
-{
-    emu_node *from = &m->nodes[job->from];
-    emu_node *at = &m->nodes[job->at];
-    instance_load_report report = {
-        .busy = admission_in_flight_count(at->admission) +
-                admission_queued_count(at->admission),
-        .limit = admission_get_limit(at->admission),
-        .state = INSTANCE_READY,
-        .call_us = (int)at->mean_call_us};
-    downstream_overload chain_overload = emu_chain_overload(m, at, job->kind);
-    enum origin_kind origin =
-        downstream_route_origin(at->downstream, emu_hash(job->kind));
-    emu_report_levels(m, from, at, job->refusal == REASON_NONE);
-    instance_set_load(from->instances, job->at, &report, m->now_us);
-    downstream_record_report(from->downstream, emu_hash(job->kind), origin,
-                             &chain_overload, m->now_us);
-    if (!downstream_is_internal(from->downstream, emu_hash(job->kind))) {
-        shedder_record_report(from->shedder, emu_hash(job->kind),
-                              &chain_overload, m->now_us);
-    }
-}
-
 /* Sends a job to the instance that the load balancer picks; without any it
  * fails. */
 static void
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -17,6 +17,7 @@
 #include "lav/overload.h"
 
 #define EMU_RUNS_MAX 4096 /* calls queued or running at one target */
+#define EMU_HOP_US 500    /* one-way latency between nodes */
 
 typedef enum emu_event_kind {
     EMU_ARRIVE,        /* an external request is sent */
@@ -79,6 +80,10 @@
     int node_count;
 } emu;
 
+uint32_t emu_hash(int value);
+void emu_pass_levels(const emu *m, emu_node *to, const emu_node *from,
+                     uint32_t except);
+void emu_record_load_report(emu *m, const emu_job *job);
 void emu_handle_event(emu *m, const emu_queue_event *event);
 void emu_schedule(emu *m, int64_t after_us, emu_event_kind kind, emu_job *job,
                   int node);
