workspace, routing: types that the new parts share

Workspaces of the desired state with a look-up by keyed hash, the workspace of a request, exempt routes, and which services take mixed work. Nothing uses them yet. docs/design/ says which part decides what.

--- a/include/lav/routing.h
+++ b/include/lav/routing.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "lav/svc.h"
+#include "lav/workspace.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -20,6 +21,13 @@
 #define ROUTING_DESTINATIONS_MAX 8 /* services of one route */
 #define ROUTING_TEXT_SIZE 512 /* bytes of a host or prefix, including NUL */
 
+/* A service takes mixed work if the longest objective of its routes is at
+ * least this ... */
+#define ROUTING_LONG_OBJECTIVE_US 2000000
+
+/* ... and at least this multiple of the shortest. */
+#define ROUTING_MIXED_OBJECTIVE_RATIO 4
+
 typedef struct routing_destination {
     char service[SVC_NAME_SIZE];
     int weight;
@@ -32,6 +40,7 @@
     size_t prefix_length;
     uint32_t key; /* hash of host and prefix; the same in every version */
     bool idempotent;
+    bool auth_exempt;     /* callers need no API key */
     int64_t timeout_us;   /* longest time that a caller is kept waiting */
     int64_t objective_us; /* a response within it has its full value */
     int priority;         /* 0 is the highest */
@@ -59,6 +68,10 @@
 const char *routing_health_path(const routing_table *table,
                                 const char *service);
 void routing_sort(routing_table *table);
+void routing_set_workspaces(routing_table *table, workspace_table *workspaces);
+const workspace_table *routing_get_workspaces(const routing_table *table);
+bool routing_serves_mixed_work(const routing_table *table,
+                               const char *service);
 const routing_limits *routing_get_limits(const routing_table *table);
 uint64_t routing_version(const routing_table *table);
 size_t routing_count(const routing_table *table);
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -11,10 +11,18 @@
     uint64_t version;
     routing_limits limits;
     GHashTable *hosts; /* lower-case host -> GPtrArray of routing_route */
-    GHashTable *health_paths; /* service -> path */
+    GHashTable *health_paths;    /* service -> path */
+    GHashTable *objectives;      /* service -> routing_objectives */
+    workspace_table *workspaces; /* NULL: the desired state holds none */
     size_t count;
 };
 
+/* Shortest and longest objective of the routes that lead to a service. */
+typedef struct routing_objectives {
+    int64_t shortest_us;
+    int64_t longest_us;
+} routing_objectives;
+
 /* Frees a route. */
 static void
 routing_route_free(gpointer route)
@@ -47,6 +55,8 @@
                                          routing_routes_free);
     table->health_paths =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    table->objectives =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     *out = table;
     return 0;
 }
@@ -58,6 +68,8 @@
     if (table != NULL) {
         g_hash_table_destroy(table->hosts);
         g_hash_table_destroy(table->health_paths);
+        g_hash_table_destroy(table->objectives);
+        workspace_table_free(table->workspaces);
         free(table);
     }
 }
@@ -83,6 +95,24 @@
            route->attempts_max > 0;
 }
 
+/* Notes the objective of a route for each service that it leads to. */
+static void
+routing_note_objective(routing_table *table, const routing_route *route)
+{
+    for (int i = 0; i < route->part_count; i++) {
+        const char *service = route->parts[i].service;
+        routing_objectives *known =
+            g_hash_table_lookup(table->objectives, service);
+        if (known == NULL) {
+            known = g_new0(routing_objectives, 1);
+            known->shortest_us = route->objective_us;
+            g_hash_table_insert(table->objectives, g_strdup(service), known);
+        }
+        known->shortest_us = MIN(known->shortest_us, route->objective_us);
+        known->longest_us = MAX(known->longest_us, route->objective_us);
+    }
+}
+
 /* Adds a copy of a route; ERR_INVALID if a field is out of range. */
 int
 routing_add(routing_table *table, const routing_route *route)
@@ -103,6 +133,7 @@
         g_hash_table_insert(table->hosts, g_strdup(copy->host), routes);
     }
     g_ptr_array_add(routes, copy);
+    routing_note_objective(table, copy);
     table->count++;
     return 0;
 }
@@ -129,6 +160,32 @@
     return g_hash_table_lookup(table->health_paths, service);
 }
 
+/* Sets the workspaces of the desired state; the table takes ownership. */
+void
+routing_set_workspaces(routing_table *table, workspace_table *workspaces)
+{
+    workspace_table_free(table->workspaces);
+    table->workspaces = workspaces;
+}
+
+/* Returns the workspaces; NULL if the desired state holds none. */
+const workspace_table *
+routing_get_workspaces(const routing_table *table)
+{
+    return table->workspaces;
+}
+
+/* Whether a service takes long requests beside calls that are urgent. */
+bool
+routing_serves_mixed_work(const routing_table *table, const char *service)
+{
+    const routing_objectives *known =
+        g_hash_table_lookup(table->objectives, service);
+    return known != NULL && known->longest_us >= ROUTING_LONG_OBJECTIVE_US &&
+           known->longest_us >=
+               known->shortest_us * ROUTING_MIXED_OBJECTIVE_RATIO;
+}
+
 /* Orders routes by descending prefix length. */
 static gint
 routing_compare_prefix_length(gconstpointer a, gconstpointer b)
--- a/src/flow/attempt.h
+++ b/src/flow/attempt.h
@@ -15,6 +15,7 @@
 #include "http_head.h"
 #include "lav/instance.h"
 #include "lav/reason.h"
+#include "lav/workspace.h"
 
 /* Size of a request id buffer, including the terminating NUL. */
 #define ATTEMPT_REQUEST_ID_BYTES 128
@@ -42,8 +43,9 @@
     bool body_complete;
     bool idempotent;
     int priority;
-    int depth;       /* 0: external request, 1: internal request */
-    uint32_t route;  /* key of the route */
+    uint32_t workspace; /* id, or WORKSPACE_NONE */
+    int depth;          /* 0: external request, 1: internal request */
+    uint32_t route;     /* key of the route */
     uint32_t origin; /* hash of the service of the node that it entered by */
     bool rerouted;   /* another node refused it before */
     bool resent;     /* the same target refused it before */
