tests: each row of chain, leave and once is a test of its own

KNOWN-RED.txt could only name whole test functions, and chain and leave hold one and two of them: with both listed check.sh ran no test of them and passed ("Tested: 0").

check.sh and ctest fail where a test program runs no test: with CRITERION_TEST_PATTERN='nothing/*' ctest -R '^(retry-chain|unit)$' fails on both; chain-tests with every row passed over prints "Tested: 0" with rc 0, which check.sh now turns into a failure.

--- a/check.sh
+++ b/check.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs, builds and passes the tests.  Cases that KNOWN-RED.txt lists (in
 # lines "test: SUITE/CASE") are printed and passed over; the others of their
-# test program are run.
+# test program are run.  A test program that runs no test fails.
 set -euo pipefail
 cd "$(dirname "$0")"
 ./install.sh
@@ -20,7 +20,14 @@
 fi
 ctest --test-dir build --output-on-failure "${exclude[@]}"
 if [ "${#known[@]}" -gt 0 ]; then
+  output=$(mktemp)
+  trap 'rm -f "$output"' EXIT
   for name in "${partly[@]}"; do
-    "build/$name-tests" -j2 --filter "!($(IFS='|'; echo "${known[*]}"))"
+    "build/$name-tests" -j2 --filter "!($(IFS='|'; echo "${known[*]}"))" 2>&1 |
+      tee "$output"
+    if ! grep -q 'Tested: [1-9]' "$output"; then
+      echo "$name-tests ran no test" >&2
+      exit 1
+    fi
   done
 fi
--- a/tests/integration/chain_test.c
+++ b/tests/integration/chain_test.c
@@ -2,7 +2,6 @@
  * makes calls fail along a chain of seven services and counts how many reach
  * the targets. */
 #include <criterion/criterion.h>
-#include <criterion/parameterized.h>
 #include <stdio.h>
 
 #include "lav/clock.h"
@@ -23,18 +22,6 @@
     bool bounded;               /* false: a baseline without the budget */
 } chain_case;
 
-static const chain_case chain_cases[] = {
-    {"the last vanishes", "", "vanish=100000", FAULT_PROXY_PASS, false, true},
-    {"the last is cut", "", "cut=100000", FAULT_PROXY_PASS, false, true},
-    {"replies are lost", "", NULL, FAULT_PROXY_CLOSE_ON_REPLY, false, true},
-    {"contexts are dropped", "", "vanish=100000", FAULT_PROXY_PASS, true,
-     true},
-    {"per hop, the last vanishes", "retries = \"per_hop\"", "vanish=100000",
-     FAULT_PROXY_PASS, false, false},
-};
-
-#define CASES (sizeof(chain_cases) / sizeof(chain_cases[0]))
-
 static void
 set_faults(rig *r, const chain_case *c)
 {
@@ -51,20 +38,11 @@
     }
 }
 
-ParameterizedTestParameters(chain, retries)
-{
-    static size_t indexes[CASES];
-    for (size_t i = 0; i < CASES; i++) {
-        indexes[i] = i;
-    }
-    return cr_make_param_array(size_t, indexes, CASES);
-}
-
 /* A caller sends a request with the same id several times to one node. */
-ParameterizedTest(size_t *index, chain, retries)
+static void
+check_chain(const chain_case *c)
 {
     static rig r;
-    const chain_case *c = &chain_cases[*index];
     char outcome[HTTP_SYNC_HEADER_SIZE];
     char reason[HTTP_SYNC_HEADER_SIZE];
     id request;
@@ -94,3 +72,20 @@
     }
     rig_stop(&r);
 }
+
+/* The table of cases: each is a test of its own. */
+#define CHAIN_TEST(name, ...)                                                 \
+    Test(chain, name)                                                         \
+    {                                                                         \
+        const chain_case c = {#name, __VA_ARGS__};                            \
+        check_chain(&c);                                                      \
+    }
+
+CHAIN_TEST(the_last_vanishes, "", "vanish=100000", FAULT_PROXY_PASS, false,
+           true)
+CHAIN_TEST(the_last_is_cut, "", "cut=100000", FAULT_PROXY_PASS, false, true)
+CHAIN_TEST(replies_are_lost, "", NULL, FAULT_PROXY_CLOSE_ON_REPLY, false, true)
+CHAIN_TEST(contexts_are_dropped, "", "vanish=100000", FAULT_PROXY_PASS, true,
+           true)
+CHAIN_TEST(per_hop_the_last_vanishes, "retries = \"per_hop\"", "vanish=100000",
+           FAULT_PROXY_PASS, false, false)
--- a/tests/integration/leave_test.c
+++ b/tests/integration/leave_test.c
@@ -1,7 +1,6 @@
 /* Targets that drain and processes that are stopped under load: a draining
  * target gets no new calls, and callers don't notice planned stops. */
 #include <criterion/criterion.h>
-#include <criterion/parameterized.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -46,24 +45,6 @@
     void (*fault)(rig *r);
 } leave_case;
 
-static const leave_case leave_cases[] = {
-    {"leaving", no_fault},
-    {"leaving, gossip cut", cut_gossip},
-    {"leaving, platform out", take_platform_down},
-    {"leaving, both", cut_gossip_and_platform},
-};
-
-#define LEAVE_CASES (sizeof(leave_cases) / sizeof(leave_cases[0]))
-
-ParameterizedTestParameters(leave, no_new_work)
-{
-    static size_t indexes[LEAVE_CASES];
-    for (size_t i = 0; i < LEAVE_CASES; i++) {
-        indexes[i] = i;
-    }
-    return cr_make_param_array(size_t, indexes, LEAVE_CASES);
-}
-
 /* Payments that were executed at one instance. */
 static int
 runs_at(const rig *r, const cluster_instance *instance)
@@ -76,11 +57,11 @@
 
 /* A target that announces that it drains, but keeps running, gets no more
  * calls once that is known, even when gossip or the platform is cut off. */
-ParameterizedTest(size_t *index, leave, no_new_work)
+static void
+check_leaving(const leave_case *c)
 {
     static rig r;
     rig_result result;
-    const leave_case *c = &leave_cases[*index];
     rig_start(&r, "pair", "");
     loadgen_options options = rig_order_load(RATE, 9, 2);
     loadgen *l = rig_start_load(&r, &options);
@@ -102,6 +83,19 @@
     rig_stop(&r);
 }
 
+/* The table of cases: each is a test of its own. */
+#define LEAVE_TEST(name, ...)                                                 \
+    Test(leave, name)                                                         \
+    {                                                                         \
+        const leave_case c = {#name, __VA_ARGS__};                            \
+        check_leaving(&c);                                                    \
+    }
+
+LEAVE_TEST(no_new_work, no_fault)
+LEAVE_TEST(no_new_work_gossip_cut, cut_gossip)
+LEAVE_TEST(no_new_work_platform_out, take_platform_down)
+LEAVE_TEST(no_new_work_both_cut, cut_gossip_and_platform)
+
 /* Which process of an instance gets SIGTERM. */
 enum stop_kind {
     STOP_TARGET,
@@ -116,25 +110,6 @@
     bool rolling;
 } stop_case;
 
-static const stop_case stop_cases[] = {
-    {"a target stops", "pay", STOP_TARGET, false},
-    {"a node stops", "pay", STOP_NODE, false},
-    {"a callers' node stops", "front", STOP_NODE, false},
-    {"payments restart in turn", "pay", STOP_BOTH, true},
-    {"entries restart in turn", "front", STOP_BOTH, true},
-};
-
-#define STOP_CASES (sizeof(stop_cases) / sizeof(stop_cases[0]))
-
-ParameterizedTestParameters(leave, planned_stops)
-{
-    static size_t indexes[STOP_CASES];
-    for (size_t i = 0; i < STOP_CASES; i++) {
-        indexes[i] = i;
-    }
-    return cr_make_param_array(size_t, indexes, STOP_CASES);
-}
-
 /* Stop an instance by SIGTERM and, with `rolling`, start it again. */
 static void
 stop_instance(rig *r, const stop_case *c, cluster_instance *instance)
@@ -156,11 +131,11 @@
 }
 
 /* Every request succeeds while instances are stopped or restarted in turn. */
-ParameterizedTest(size_t *index, leave, planned_stops)
+static void
+check_stop(const stop_case *c)
 {
     static rig r;
     rig_result result;
-    const stop_case *c = &stop_cases[*index];
     rig_start(&r, "pair", "");
     loadgen_options options = rig_order_load(RATE, c->rolling ? 30 : 9, 3);
     loadgen *l = rig_start_load(&r, &options);
@@ -174,3 +149,16 @@
                  "%s: a caller noticed the stop", c->name);
     rig_stop(&r);
 }
+
+#define STOP_TEST(name, ...)                                                  \
+    Test(leave, name)                                                         \
+    {                                                                         \
+        const stop_case c = {#name, __VA_ARGS__};                             \
+        check_stop(&c);                                                       \
+    }
+
+STOP_TEST(planned_stop_of_a_target, "pay", STOP_TARGET, false)
+STOP_TEST(planned_stop_of_a_node, "pay", STOP_NODE, false)
+STOP_TEST(planned_stop_of_a_callers_node, "front", STOP_NODE, false)
+STOP_TEST(planned_stops_of_payments_in_turn, "pay", STOP_BOTH, true)
+STOP_TEST(planned_stops_of_entries_in_turn, "front", STOP_BOTH, true)
--- a/tests/integration/once_test.c
+++ b/tests/integration/once_test.c
@@ -2,7 +2,6 @@
  * whatever fails, no payment is executed twice, and no request that was
  * executed is reported as not run. */
 #include <criterion/criterion.h>
-#include <criterion/parameterized.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -192,64 +191,52 @@
     cluster_configure_standin(r->cluster.platform_port, "outage=0");
 }
 
-typedef struct fault_case {
-    const char *name;
-    fault_cb inject;
-} fault_case;
-
-static const fault_case fault_cases[] = {
-    {"no fault", fault_none},
-    {"target's node killed", fault_target_node_killed},
-    {"callers' node killed", fault_callers_node_killed},
-    {"node replaced, memory empty", fault_node_replaced},
-    {"target killed and back", fault_target_killed},
-    {"answers cut halfway", fault_responses_cut},
-    {"answers vanish", fault_responses_lost},
-    {"node frozen past its lease", fault_node_frozen},
-    {"nodes frozen shortly, often", fault_node_frozen_often},
-    {"target frozen", fault_target_frozen},
-    {"platform out", fault_platform_out},
-    {"platform does not answer", fault_platform_cut},
-    {"platform's answers lost", fault_platform_responses_lost},
-    {"replies between nodes cut", fault_peer_replies_cut},
-    {"nodes cut off from each other", fault_peers_cut},
-    {"a node held, then back", fault_peers_held},
-    {"replies between nodes late", fault_peers_slow},
-    {"platform out, node replaced", fault_outage_and_kill},
-};
-
-#define FAULTS (sizeof(fault_cases) / sizeof(fault_cases[0]))
-
-/* Criterion runs each test in its own process, where pointers from here are
- * not valid, so the parameter is an index. */
-ParameterizedTestParameters(once, under_faults)
-{
-    static size_t indexes[FAULTS];
-    for (size_t i = 0; i < FAULTS; i++) {
-        indexes[i] = i;
-    }
-    return cr_make_param_array(size_t, indexes, FAULTS);
-}
-
-ParameterizedTest(size_t *index, once, under_faults)
+/* Load of payments, and a fault one second after it began. */
+static void
+check_once(const char *name, fault_cb inject)
 {
-    const fault_case *c = &fault_cases[*index];
     static rig r;
     rig_result result;
     rig_start(&r, "pair", "");
     loadgen_options options = rig_order_load(RATE, SECONDS, 3);
     loadgen *l = rig_start_load(&r, &options);
     rig_sleep_ms(1000);
-    c->inject(&r);
+    inject(&r);
     rig_finish_load(&result, &r, l);
     rig_sleep_ms(1000); /* until calls in flight have ended */
-    rig_expect_guarantees(&result, c->name);
-    if (c->inject == fault_none) {
+    rig_expect_guarantees(&result, name);
+    if (inject == fault_none) {
         cr_expect_eq(result.by_outcome[LOADGEN_DONE], result.sent);
     }
     rig_stop(&r);
 }
 
+/* The table of faults: each is a test of its own. */
+#define ONCE_TEST(name, inject)                                               \
+    Test(once, name)                                                          \
+    {                                                                         \
+        check_once(#name, inject);                                            \
+    }
+
+ONCE_TEST(no_fault, fault_none)
+ONCE_TEST(targets_node_killed, fault_target_node_killed)
+ONCE_TEST(callers_node_killed, fault_callers_node_killed)
+ONCE_TEST(node_replaced_memory_empty, fault_node_replaced)
+ONCE_TEST(target_killed_and_back, fault_target_killed)
+ONCE_TEST(answers_cut_halfway, fault_responses_cut)
+ONCE_TEST(answers_vanish, fault_responses_lost)
+ONCE_TEST(node_frozen_past_its_lease, fault_node_frozen)
+ONCE_TEST(nodes_frozen_shortly_often, fault_node_frozen_often)
+ONCE_TEST(target_frozen, fault_target_frozen)
+ONCE_TEST(platform_out, fault_platform_out)
+ONCE_TEST(platform_does_not_answer, fault_platform_cut)
+ONCE_TEST(platforms_answers_lost, fault_platform_responses_lost)
+ONCE_TEST(replies_between_nodes_cut, fault_peer_replies_cut)
+ONCE_TEST(nodes_cut_off_from_each_other, fault_peers_cut)
+ONCE_TEST(a_node_held_then_back, fault_peers_held)
+ONCE_TEST(replies_between_nodes_late, fault_peers_slow)
+ONCE_TEST(platform_out_node_replaced, fault_outage_and_kill)
+
 /* A node whose table of calls is full refuses a request without looking it up.
  * It must not report "not run" for a retry of a request that was executed. */
 Test(once, full_tables_refuse_truthfully)
