retry_budget: what counts is a mean with weights that all nodes share

A node that started for the first time counted the larger of its requests in the window before and of half of those since or around the beginning. The larger of two sums at each node can add up to more than either sum of all nodes, when requests move to nodes that join; a restarted node and one that joined also had their share of the slack while earlier users of it, or the node's own earlier start, might have used all of it within the window.

Each window now counts a weighted mean of the window before (0.75) and of itself as far as it has passed (0.25); in the fleet's first window only itself. The weights are the same at all nodes, so the sum over the nodes is the mean of the totals, whoever gets the requests and whoever starts. The fleet's start is the lowest incarnation ever known. Nodes that start within 2 s of it share the slack at once; those that join or restart have none for a window and these 2 s. Slices are 1/40 of a window and only those that lie in a window whole count, so that the bound holds to the request.

--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -80,7 +80,8 @@
     uint16_t port; /* ditto */
     char instance[INSTANCE_NAME_SIZE];
     int64_t born_ms;      /* Unix time of the instance's start */
-    uint64_t incarnation; /* of the node; rises with each start */
+    uint64_t incarnation; /* Unix time of the node's start, in ms; raised where
+                           * an earlier start has a higher one */
     uint64_t sequence;    /* rises with each change of this record */
     enum instance_state state;
     int slots; /* calls that the instance runs at once */
@@ -121,6 +122,7 @@
 int instance_find(const instance_table *table, const char *node);
 const instance_record *instance_get(const instance_table *table, int handle);
 int instance_count(const instance_table *table);
+uint64_t instance_first_incarnation(const instance_table *table);
 const char *instance_service_name(const instance_table *table,
                                   uint32_t service);
 double instance_service_share(const instance_table *table, uint32_t service);
--- a/src/core/instance.c
+++ b/src/core/instance.c
@@ -155,6 +155,10 @@
     else if (!instance_is_newer(record, &table->entries[handle].record)) {
         return false;
     }
+    if (table->first_incarnation == 0 ||
+        record->incarnation < table->first_incarnation) {
+        table->first_incarnation = record->incarnation;
+    }
     instance_entry *entry = &table->entries[handle];
     bool same = strcmp(entry->record.instance, record->instance) == 0 &&
                 entry->record.born_ms == record->born_ms &&
@@ -208,6 +212,14 @@
     return table->count;
 }
 
+/* Returns the lowest incarnation of all nodes that were ever known; 0 if none
+ * was. */
+uint64_t
+instance_first_incarnation(const instance_table *table)
+{
+    return table->first_incarnation;
+}
+
 /* Whether the last published record is that of a ready instance of the
  * service.  A state reported with a response only starts a backoff: the
  * instance may be back before a new record can be published. */
--- a/src/core/instance_private.h
+++ b/src/core/instance_private.h
@@ -30,8 +30,9 @@
     instance_entry *entries;
     int count;
     int known_count;
-    GHashTable *by_node;    /* node -> handle + 1 */
-    GHashTable *by_service; /* hash of a service -> GArray of handles */
+    uint64_t first_incarnation; /* lowest ever known; 0: none */
+    GHashTable *by_node;        /* node -> handle + 1 */
+    GHashTable *by_service;     /* hash of a service -> GArray of handles */
     instance_notes *notes;
     GRand *random;
 };
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -17,13 +17,13 @@
     window->options.nodes = nodes > 0 ? nodes : 1;
 }
 
-/* Sets whether this is the first start of the node.  If it is not, an earlier
- * one may have used the budget, so the node begins with its share of the slack
- * only. */
+/* Sets when the first node of the fleet started; RETRY_BUDGET_LONG_AGO if an
+ * earlier start of this node may have used the budget. */
 void
-retry_budget_set_first_start(retry_budget_window *window, bool first_start)
+retry_budget_set_fleet_start(retry_budget_window *window,
+                             int64_t fleet_started_us)
 {
-    window->options.first_start = first_start;
+    window->options.fleet_started_us = fleet_started_us;
 }
 
 /* Returns the index of a slice in the ring. */
@@ -57,9 +57,10 @@
 static int
 retry_budget_sum(const int *sums, int from, int to)
 {
-    int last = MIN(to, RETRY_BUDGET_RING - 1);
-    int before = MAX(from, 0) - 1;
-    return sums[last] - (before < 0 ? 0 : sums[before]);
+    if (to < from) {
+        return 0;
+    }
+    return sums[to] - (from == 0 ? 0 : sums[from - 1]);
 }
 
 /* Sums the requests up to each age. */
@@ -74,33 +75,41 @@
     }
 }
 
-/* Whether a window that begins with the slice of an age has no whole window
- * before it, on a node that has started for the first time. */
-static bool
-retry_budget_is_first(const retry_budget_window *window, int age)
+/* Returns the requests that count for the windows that begin within the slice
+ * of an age.  Only those count that lie in each of these windows, or in the
+ * window before each. */
+static double
+retry_budget_counted(const retry_budget_window *window, const int *sums,
+                     int age)
 {
     const retry_budget_options *options = &window->options;
     int64_t slice_us = options->window_us / RETRY_BUDGET_SLICES;
-    return options->first_start &&
-           (window->slice - age) * slice_us <
-               options->started_us + options->window_us;
+    int64_t begin_us = (window->slice - age) * slice_us;
+    int64_t first_end_us = options->fleet_started_us + options->window_us;
+    double before =
+        retry_budget_sum(sums, age + 1, age + RETRY_BUDGET_SLICES - 1);
+    double since = retry_budget_sum(sums, 0, age - 1);
+    double mean = RETRY_BUDGET_BEFORE_WEIGHT * before +
+                  (1 - RETRY_BUDGET_BEFORE_WEIGHT) * since;
+    if (begin_us >= first_end_us) {
+        return mean;
+    }
+    /* Other nodes' slices begin at other times: some of these windows may lie
+     * on either side of the end. */
+    return begin_us + slice_us <= first_end_us ? since : MIN(since, mean);
 }
 
-/* Returns the requests that count for the window that begins with the slice of
- * an age: those of the window before it, or, after a first start, a part of
- * those around its beginning or since. */
+/* Returns this node's share of the slack, in retries. */
 static double
-retry_budget_counted(const retry_budget_window *window, const int *sums,
-                     int age)
+retry_budget_slack(const retry_budget_window *window, int64_t now_us)
 {
-    int before = retry_budget_sum(sums, age + 1, age + RETRY_BUDGET_SLICES);
-    if (!retry_budget_is_first(window, age)) {
-        return before;
-    }
-    int half = RETRY_BUDGET_SLICES / 2;
-    int around = retry_budget_sum(sums, age + 1 - half, age + half);
-    int since = retry_budget_sum(sums, 0, age);
-    return MAX(before, MAX(around, since) * RETRY_BUDGET_FIRST_RATIO);
+    const retry_budget_options *options = &window->options;
+    bool founded = options->started_us - options->fleet_started_us <=
+                   RETRY_BUDGET_FOUNDING_US;
+    int64_t joined_us =
+        options->started_us + options->window_us + RETRY_BUDGET_FOUNDING_US;
+    return founded || now_us >= joined_us ? options->slack / options->nodes
+                                          : 0;
 }
 
 /* Returns the retries of the slice `age` slices before the current one. */
@@ -112,15 +121,14 @@
 }
 
 /* Returns how far the budget is used: of all windows that the current slice
- * belongs to, the one that leaves least.  The requests that count for a window
- * are those of the window before it.  A node whose requests become more can't
- * use a budget that another node has used before the requests moved, and
- * requests that fail to come later don't matter. */
+ * belongs to, the one that leaves least.  A node whose requests become more
+ * can't use a budget that another node has used before the requests moved. */
 retry_budget_usage
 retry_budget_get_usage(const retry_budget_window *window)
 {
     const retry_budget_options *options = &window->options;
-    double slack = options->slack / options->nodes;
+    int64_t slice_us = options->window_us / RETRY_BUDGET_SLICES;
+    double slack = retry_budget_slack(window, window->slice * slice_us);
     retry_budget_usage tightest = {0, 0};
     double used = 0;
     int sums[RETRY_BUDGET_RING];
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -143,6 +143,22 @@
     return 0;
 }
 
+/* Returns when the first node of the fleet started, on this node's clock;
+ * RETRY_BUDGET_LONG_AGO if this node has started before. */
+static int64_t
+runtime_fleet_start_us(const runtime *n)
+{
+    uint64_t first = instance_first_incarnation(n->fleet);
+    if (!n->first_start) {
+        return RETRY_BUDGET_LONG_AGO;
+    }
+    if (first == 0 || first >= n->self.incarnation) {
+        return n->started_us;
+    }
+    return n->started_us -
+           (int64_t)(n->self.incarnation - first) * CLOCK_US_PER_MS;
+}
+
 /* Returns this node's share of the retry budget of a service. */
 retry_budget_window *
 runtime_retry_budget(runtime *n, const char *service)
@@ -156,13 +172,13 @@
                                             CLOCK_US_PER_MS,
                                         1,
                                         n->started_us,
-                                        n->first_start};
+                                        RETRY_BUDGET_LONG_AGO};
         budget = g_new0(retry_budget_window, 1);
         retry_budget_init(budget, &options);
         g_hash_table_insert(n->retry_budgets, g_strdup(service), budget);
     }
     retry_budget_set_nodes(budget, instance_count(n->fleet));
-    retry_budget_set_first_start(budget, n->first_start);
+    retry_budget_set_fleet_start(budget, runtime_fleet_start_us(n));
     return budget;
 }
 
