instance_pick: one that fails most calls is no measure of speed

An instance that shed every call was chosen before one that served all of them slowly: the one call that it had served took 0.2 ms, and beside that 43 ms cost 0.4 + 0.5 x log2(200 / 3) = 3.4, more than the 1.5 for failing every call. Each request was shed first and then retried, until the retry budget was used up. That is what failed mesh_hops/targets_get_no_more_connections_than_slots on a busy machine (its target takes 42 ms there at times), not the budget of a first start alone.

Instances of whose calls half or more fail don't count for the fastest call time.

--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -41,6 +41,10 @@
 #define INSTANCE_JITTER 0.04        /* random; spreads equal choices */
 #define INSTANCE_STOPPING_COST 2.0  /* chosen after all others */
 
+/* Failures among an instance's calls from which on its call time is no measure
+ * for that of others. */
+#define INSTANCE_FAILING_PERMILLE 500
+
 /* Ratio of call times up to which healthy instances differ. */
 #define INSTANCE_SPEED_RATIO_NORMAL 3.0
 
--- a/src/core/instance_pick.c
+++ b/src/core/instance_pick.c
@@ -35,7 +35,9 @@
 }
 
 /* Returns the shortest mean call time, in us, among the ready instances of a
- * service; 0 if none is known. */
+ * service; 0 if none is known.  One most of whose calls fail doesn't count:
+ * beside the few that it served, others would seem slow, and its failures
+ * would weigh less than that. */
 static int
 instance_fastest_us(const instance_table *table, const GArray *group,
                     const char *service)
@@ -45,6 +47,7 @@
         const instance_entry *entry =
             &table->entries[g_array_index(group, int, i)];
         if (instance_is_ready(entry, service) && entry->report.call_us > 0 &&
+            entry->report.failures_permille < INSTANCE_FAILING_PERMILLE &&
             (fastest_us == 0 || entry->report.call_us < fastest_us)) {
             fastest_us = entry->report.call_us;
         }
@@ -60,7 +63,7 @@
 {
     const instance_entry *entry = &table->entries[handle];
     double cost = instance_relative_load(table, handle, now_us);
-    if (entry->report.call_us > 0 && fastest_us > 0) {
+    if (fastest_us > 0 && entry->report.call_us > fastest_us) {
         double slower = (double)entry->report.call_us / fastest_us;
         cost += INSTANCE_SPEED_WEIGHT * (1 - 1 / slower);
         if (slower > INSTANCE_SPEED_RATIO_NORMAL) {
