--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -41,6 +41,10 @@
 #define INSTANCE_JITTER 0.04        /* random; spreads equal choices */
 #define INSTANCE_STOPPING_COST 2.0  /* chosen after all others */
 
+/* Failures among an instance's calls from which on its call time is no measure
+ * for that of others. */
+#define INSTANCE_FAILING_PERMILLE 500
+
 /* Ratio of call times up to which healthy instances differ. */
 #define INSTANCE_SPEED_RATIO_NORMAL 3.0
 
@@ -80,7 +84,8 @@
     uint16_t port; /* ditto */
     char instance[INSTANCE_NAME_SIZE];
     int64_t born_ms;      /* Unix time of the instance's start */
-    uint64_t incarnation; /* of the node; rises with each start */
+    uint64_t incarnation; /* Unix time of the node's start, in ms; raised where
+                           * an earlier start has a higher one */
     uint64_t sequence;    /* rises with each change of this record */
     enum instance_state state;
     int slots; /* calls that the instance runs at once */
@@ -121,6 +126,7 @@
 int instance_find(const instance_table *table, const char *node);
 const instance_record *instance_get(const instance_table *table, int handle);
 int instance_count(const instance_table *table);
+uint64_t instance_first_incarnation(const instance_table *table);
 const char *instance_service_name(const instance_table *table,
                                   uint32_t service);
 double instance_service_share(const instance_table *table, uint32_t service);
