overload: calls missing at a target that sheds are no demand

Cause: a call stands for those that failed runs no longer make. Where the target itself sheds, runs fail for that and not for lack of slots, so levels of 0.3 to 0.9 were reported by targets with 3 to 12 of 18 slots busy, and requests were refused that had room.

Change: in a window in which the target fails calls and has free slots, only the calls that arrive count.

Test: level/the_level_does_not_depend_on_the_one_in_force, before: levels 0.55 and 0.31 in the two cases of a target that fails calls.

--- a/include/lav/overload.h
+++ b/include/lav/overload.h
@@ -38,6 +38,10 @@
 #define OVERLOAD_QUEUE_STANDING 0.5
 #define OVERLOAD_LOST_STANDING 0.02
 
+/* Share of the ended calls that the target itself failed, from which on it, and
+ * not a lack of slots, is what chains of calls break at. */
+#define OVERLOAD_FAILING_SHARE_MIN 0.05
+
 /* Change of the target factor per window. */
 #define OVERLOAD_TARGET_DECREASE 0.03
 #define OVERLOAD_TARGET_INCREASE 0.02
@@ -56,6 +60,7 @@
     int held_up;      /* calls that waited or were refused in the window */
     double factor; /* demand per call served; below 1: share of busy slots */
     int lost;      /* calls refused, or given up after a wait, in the window */
+    int failed;    /* calls that the target refused or failed by itself */
     double demand; /* arrivals in the window, without load shedding */
     double relief; /* OVERLOAD_TARGET_MAX less the target factor */
     double mean_demand;   /* per window, moving average */
@@ -66,6 +71,7 @@
 void overload_count_end(overload_meter *meter);
 void overload_count_held_up(overload_meter *meter);
 void overload_count_lost(overload_meter *meter);
+void overload_count_failed(overload_meter *meter);
 double overload_factor(overload_meter *meter, int running, int limit,
                        int waiting, double call_us, int64_t now_us);
 double overload_level(const overload_meter *meter);
--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -35,6 +35,14 @@
     meter->lost++;
 }
 
+/* Counts a call that ended as the target refused or failed it by itself; its
+ * end is counted as well. */
+void
+overload_count_failed(overload_meter *meter)
+{
+    meter->failed++;
+}
+
 /* Moves the target factor, once per window; `waiting` are the calls in the
  * queue at its end. */
 static void
@@ -75,14 +83,25 @@
     return factor < OVERLOAD_FACTOR_MAX ? factor : OVERLOAD_FACTOR_MAX;
 }
 
+/* Whether the target fails calls in a window in which it has free slots.  Fewer
+ * requests would not make it fail fewer. */
+static bool
+overload_is_failing(const overload_meter *meter)
+{
+    return !overload_is_full(meter) &&
+           meter->failed > meter->served * OVERLOAD_FAILING_SHARE_MIN;
+}
+
 /* Adds the window that ends to the averages of demand and capacity.  A target
- * that was not full could have served as many calls as its slots can. */
+ * that was not full could have served as many calls as its slots can.  The
+ * calls that are missing because it failed others count for nothing. */
 static void
 overload_average_window(overload_meter *meter, int limit, double call_us,
                         int64_t window_us)
 {
     double capacity = MAX(meter->served, 1);
-    double demand = meter->demand;
+    double demand =
+        overload_is_failing(meter) ? meter->arrivals : meter->demand;
     if (overload_is_full(meter)) {
         demand *= 1 + OVERLOAD_QUEUE_SHARE * meter->waiting /
                           MAX(meter->arrivals, 1);
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -333,6 +333,9 @@
                                             LOCAL_TARGET_CALL_TIME_WEIGHT;
     }
     overload_count_end(&t->overload);
+    if (failed) {
+        overload_count_failed(&t->overload);
+    }
     admission_release_slot(t->admission, failed ? -1 : took_us, now_us);
     local_target_end_run(call);
     local_target_call_free(call);
--- a/tests/unit/level_test.c
+++ b/tests/unit/level_test.c
@@ -248,9 +248,10 @@
 }
 
 /* Plays 3 s at a target of 10 slots and calls of 10 ms, which serves 100 calls
- * in a window; returns its level. */
+ * in a window; returns its level.  The target itself fails a share of the calls
+ * that it serves. */
 static double
-measure_level(int arrivals, double weight)
+measure_level(int arrivals, double weight, double failing)
 {
     overload_meter meter = {0};
     int64_t now = CLOCK_US_PER_S;
@@ -268,6 +269,9 @@
         }
         for (int i = 0; i < served; i++) {
             overload_count_end(&meter);
+            if (i < served * failing) {
+                overload_count_failed(&meter);
+            }
         }
         now += OVERLOAD_WINDOW_US;
         overload_factor(&meter, served / 10, 10, waiting, 10 * MS, now);
@@ -278,27 +282,30 @@
 typedef struct measure_case {
     int arrivals; /* per window */
     double weight;
-    double from; /* the level lies between these */
+    double failing; /* share */
+    double from;    /* the level lies between these */
     double to;
 } measure_case;
 
 /* Whatever part of the demand is admitted already, the level is the share that
- * can be. */
+ * can be.  A target that fails calls while it has free slots limits nothing,
+ * whatever those that arrive stand for; one that is full as well does. */
 static const measure_case measure_cases[] = {
-    {0, 1, 2, 2},          {50, 1, 2, 2},       {80, 1, 1.2, 1.4},
-    {200, 1, 0.37, 0.5},   {100, 2, 0.5, 0.56}, {50, 4, 0.5, 0.56},
-    {2000, 1, 0.05, 0.05},
+    {0, 1, 0, 2, 2},          {50, 1, 0, 2, 2},       {80, 1, 0, 1.2, 1.4},
+    {200, 1, 0, 0.37, 0.5},   {100, 2, 0, 0.5, 0.56}, {50, 4, 0, 0.5, 0.56},
+    {2000, 1, 0, 0.05, 0.05}, {50, 4, 0.55, 1, 2},    {90, 4, 0.1, 1, 2},
+    {50, 4, 0.01, 0.5, 0.56}, {200, 2, 0.55, 0, 0.3},
 };
 
 Test(level, the_level_does_not_depend_on_the_one_in_force)
 {
     for (size_t i = 0; i < COUNT(measure_cases); i++) {
         const measure_case *c = &measure_cases[i];
-        double level = measure_level(c->arrivals, c->weight);
-        cr_expect_geq(level, c->from - NEAR, "%d x %g: %.3f", c->arrivals,
-                      c->weight, level);
-        cr_expect_leq(level, c->to + NEAR, "%d x %g: %.3f", c->arrivals,
-                      c->weight, level);
+        double level = measure_level(c->arrivals, c->weight, c->failing);
+        cr_expect_geq(level, c->from - NEAR, "%d x %g, failing %g: %.3f",
+                      c->arrivals, c->weight, c->failing, level);
+        cr_expect_leq(level, c->to + NEAR, "%d x %g, failing %g: %.3f",
+                      c->arrivals, c->weight, c->failing, level);
     }
 }
 
