target_queue: mixed work is queued by what is still possible

Where a service takes short calls of begun requests beside long external requests, a long one held up ten short ones. Now each call's expected work is learnt by route (work_time); a call that can't end in time is refused at once; external requests leave as many slots as internal calls need and have a quarter of them in any case (mixed_queue). Elsewhere admission decides, as before.

--- a/lab/emu.c
+++ b/lab/emu.c
@@ -201,6 +201,8 @@
 {
     emu_node *node = &m->nodes[job->at];
     int64_t took_us = m->now_us - job->run_start_us;
+    target_queue_end_call(node->queue, job->handle, ok ? took_us : -1,
+                          m->now_us);
     node->jobs[job->handle] = NULL;
     job->handle = EMU_NONE;
     job->run_start_us = 0;
@@ -214,7 +216,6 @@
     downstream_record_end(node->downstream, emu_hash(job->kind), !ok,
                           m->now_us);
     downstream_end_run(node->downstream, emu_hash(job->kind), m->now_us);
-    admission_release_slot(node->admission, took_us, m->now_us);
     emu_send_reply(m, job, ok, REASON_NONE);
     emu_dispatch_queued(m, job->at);
 }
@@ -271,7 +272,7 @@
 {
     emu_node *node = &m->nodes[index];
     int handle = 0;
-    while (admission_pop(&handle, node->admission, m->now_us)) {
+    while (target_queue_pop(&handle, node->queue, m->now_us)) {
         emu_start_run(m, node->jobs[handle]);
     }
 }
@@ -313,11 +314,13 @@
     target_queue_request request = {
         .handle = handle,
         .rank = g_rand_int_range(m->random, 0, ID_RANKS),
+        .route = emu_hash(job->kind),
+        .internal = job->parent != NULL,
+        .priority = k->priority,
         .objective_us = k->objective_us,
         .deadline_us = job->deadline_us};
-    admission_call call = target_queue_make_call(&request, m->now_us);
     admission_result admitted =
-        admission_decide(node->admission, &call, m->now_us);
+        target_queue_decide(node->queue, &request, m->now_us);
     if (admitted.displaced != ADMISSION_NONE) {
         emu_refuse(m, node, node->jobs[admitted.displaced],
                    REASON_QUEUE_DISPLACED);
@@ -348,12 +351,12 @@
 {
     emu_node *node = &m->nodes[index];
     admission_refusal refusal;
-    while (admission_pop_expired(&refusal, node->admission, m->now_us)) {
+    while (target_queue_pop_expired(&refusal, node->queue, m->now_us)) {
         overload_count_lost(&node->overload);
         emu_refuse(m, node, node->jobs[refusal.handle], refusal.reason);
     }
     emu_dispatch_queued(m, index);
-    node->expiring = admission_queued_count(node->admission) > 0;
+    node->expiring = target_queue_queued_count(node->queue) > 0;
     if (node->expiring) {
         emu_schedule(m, EMU_EXPIRY_INTERVAL_US, EMU_EXPIRE_QUEUED, NULL,
                      index);
@@ -385,8 +388,8 @@
     if (!job->ok && job->refusal != REASON_NONE && !job->executed) {
         const emu_node *at = &m->nodes[job->at];
         job->retry_after_us = retry_after_queue_full_us(
-            at->mean_call_us, admission_queued_count(at->admission),
-            admission_get_limit(at->admission));
+            at->mean_call_us, target_queue_queued_count(at->queue),
+            target_queue_get_limit(at->queue));
     }
     emu_finish(m, job, job->ok);
 }
@@ -403,7 +406,7 @@
         if (job->run_start_us != 0) {
             emu_finish_run(m, job, false);
         }
-        else if (admission_remove(node->admission, job->handle)) {
+        else if (target_queue_remove(node->queue, job->handle)) {
             emu_refuse(m, node, job, REASON_DEADLINE);
         }
     }
--- a/lab/emu.h
+++ b/lab/emu.h
@@ -61,6 +61,8 @@
     double seconds;
     int zones;
     uint64_t seed;
+    bool mixed_queue;   /* of services that take mixed work; false: calls are
+                       * queued alike */
     bool load_shedding; /* load shedding; false: every request is started */
 } emu_options;
 
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -9,7 +9,6 @@
 
 #include "emu_queue.h"
 #include "emu.h"
-#include "lav/admission.h"
 #include "lav/downstream.h"
 #include "lav/target_queue.h"
 #include "lav/instance.h"
@@ -61,7 +60,7 @@
     instance_table *instances;
     downstream_table *downstream;
     shedder_state *shedder;
-    admission_queue *admission;
+    target_queue *queue;
     overload_meter overload;
     double mean_call_us; /* moving average of execution times */
     service_level_table levels;
--- a/lab/emu_report.c
+++ b/lab/emu_report.c
@@ -19,9 +19,9 @@
     downstream_overload own = {
         emu_hash(node->service),
         overload_factor(&node->overload,
-                        admission_in_flight_count(node->admission),
-                        admission_get_limit(node->admission),
-                        admission_queued_count(node->admission),
+                        target_queue_running_count(node->queue),
+                        target_queue_get_limit(node->queue),
+                        target_queue_queued_count(node->queue),
                         node->mean_call_us, m->now_us),
         0};
     return downstream_chain_overload(node->downstream, emu_hash(kind), &own,
@@ -64,12 +64,12 @@
 {
     emu_node *from = &m->nodes[job->from];
     emu_node *at = &m->nodes[job->at];
-    instance_load_report report = {
-        .busy = admission_in_flight_count(at->admission) +
-                admission_queued_count(at->admission),
-        .limit = admission_get_limit(at->admission),
-        .state = INSTANCE_READY,
-        .call_us = (int)at->mean_call_us};
+    instance_load_report report = {.busy =
+                                       target_queue_running_count(at->queue) +
+                                       target_queue_queued_count(at->queue),
+                                   .limit = target_queue_get_limit(at->queue),
+                                   .state = INSTANCE_READY,
+                                   .call_us = (int)at->mean_call_us};
     downstream_overload chain_overload = emu_chain_overload(m, at, job->kind);
     enum origin_kind origin =
         downstream_route_origin(at->downstream, emu_hash(job->kind));
--- a/lab/emu_run.c
+++ b/lab/emu_run.c
@@ -3,6 +3,24 @@
 
 #include "emu_private.h"
 #include "lav/clock.h"
+#include "lav/routing.h"
+
+/* Whether a service takes mixed work, by the objectives of its kinds. */
+static bool
+emu_serves_mixed_work(const emu *m, int service)
+{
+    int64_t longest_us = 0;
+    int64_t shortest_us = INT64_MAX;
+    for (int i = 0; i < m->opts->kind_count; i++) {
+        const emu_kind *k = &m->opts->kinds[i];
+        if (k->service == service) {
+            longest_us = MAX(longest_us, k->objective_us);
+            shortest_us = MIN(shortest_us, k->objective_us);
+        }
+    }
+    return longest_us >= ROUTING_LONG_OBJECTIVE_US &&
+           longest_us >= shortest_us * ROUTING_MIXED_OBJECTIVE_RATIO;
+}
 
 /* Sets up a node; `index` counts the instances of its service. */
 static void
@@ -22,8 +40,11 @@
     downstream_new(&node->downstream);
     shedder_new(&node->shedder, &node->levels,
                 m->opts->seed + (uint64_t)(node - m->nodes));
-    target_queue_new(&node->admission);
-    admission_set_slots(node->admission, s->slots, false, 0);
+    target_queue_new(&node->queue);
+    target_queue_set_limit(node->queue, s->slots, 0);
+    target_queue_set_mixed(
+        node->queue, m->opts->mixed_queue && emu_serves_mixed_work(m, service),
+        0);
 }
 
 /* Sets up all nodes, each knowing every instance, and the first arrivals. */
@@ -89,7 +110,7 @@
         instance_free(m.nodes[i].instances);
         downstream_free(m.nodes[i].downstream);
         shedder_free(m.nodes[i].shedder);
-        admission_free(m.nodes[i].admission);
+        target_queue_free(m.nodes[i].queue);
     }
     emu_queue_free(m.queue);
     g_ptr_array_free(m.jobs, TRUE);
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -36,13 +36,13 @@
     local_target *t = watcher->data;
     evloop_update_now(t->n->l);
     admission_refusal refusal;
-    while (admission_pop_expired(&refusal, t->admission, t->n->l->now_us)) {
+    while (target_queue_pop_expired(&refusal, t->queue, t->n->l->now_us)) {
         overload_count_lost(&t->overload);
         local_target_fail_call(t->calls[refusal.handle], OUTCOME_NOT_RUN,
                                refusal.reason, false);
     }
     local_target_dispatch_queued(t);
-    if (admission_queued_count(t->admission) == 0) {
+    if (target_queue_queued_count(t->queue) == 0) {
         ev_timer_stop(loop, watcher);
     }
 }
@@ -65,7 +65,7 @@
             ERR_SET(e, ERR_INVALID, "target.address: \"%s\" is no address",
                     n->settings.target);
     }
-    else if (target_queue_new(&t->admission) < 0 ||
+    else if (target_queue_new(&t->queue) < 0 ||
              dispatch_new(&t->dispatches, LOCAL_TARGET_DISPATCH_RECORDS_MAX) <
                  0) {
         result =
@@ -95,7 +95,7 @@
         http_async_cancel(t->health_check);
         http_async_cancel(t->end_check);
         ev_timer_stop(t->n->l->loop, &t->entries_wait);
-        admission_free(t->admission);
+        target_queue_free(t->queue);
         dispatch_free(t->dispatches);
         free(t);
     }
@@ -109,8 +109,7 @@
 {
     int limit = (int)ceil(t->slots * LOCAL_TARGET_USABLE_SLOTS_RATIO) - 1 -
                 orphan_calls_count(&t->orphans);
-    admission_set_slots(t->admission, limit < 1 ? 1 : limit, false,
-                        t->n->l->now_us);
+    target_queue_set_limit(t->queue, limit < 1 ? 1 : limit, t->n->l->now_us);
 }
 
 /* Returns the load report of the target for other nodes. */
@@ -121,10 +120,10 @@
     if (state == INSTANCE_READY && t->n->stopping) {
         state = INSTANCE_STOPPING;
     }
-    const rate_limit *rate = admission_get_rate(t->admission);
+    const rate_limit *rate = target_queue_get_rate(t->queue);
     return (instance_load_report){
-        .busy = admission_in_flight_count(t->admission) +
-                admission_queued_count(t->admission),
+        .busy = target_queue_running_count(t->queue) +
+                target_queue_queued_count(t->queue),
         .limit = local_target_concurrency(t),
         .rate = {rate->set, rate->per_s},
         .failures_permille = (int)(t->failure_rate * LOCAL_TARGET_PERMILLE),
@@ -148,9 +147,9 @@
     int64_t now_us = t->n->l->now_us;
     downstream_overload own = {
         t->n->service_hash,
-        overload_factor(&t->overload, admission_in_flight_count(t->admission),
+        overload_factor(&t->overload, target_queue_running_count(t->queue),
                         local_target_concurrency(t),
-                        admission_queued_count(t->admission), t->call_us,
+                        target_queue_queued_count(t->queue), t->call_us,
                         now_us),
         0};
     local_target_log_level(t);
@@ -162,7 +161,7 @@
 local_target_retry_after_us(const local_target *t)
 {
     return retry_after_queue_full_us(t->call_us,
-                                     admission_queued_count(t->admission),
+                                     target_queue_queued_count(t->queue),
                                      local_target_concurrency(t));
 }
 
@@ -256,11 +255,17 @@
     }
     target_queue_request request = {.handle = call->handle,
                                     .rank = id_rank(r->id),
+                                    .route = r->route,
+                                    .internal = r->depth > 0,
+                                    .priority = r->priority,
                                     .objective_us = r->objective_us,
                                     .deadline_us = r->deadline_us};
-    admission_call admitted = target_queue_make_call(&request, now_us);
-    admission_result verdict =
-        admission_decide(t->admission, &admitted, now_us);
+    target_queue_set_mixed(
+        t->queue,
+        t->n->routes != NULL &&
+            routing_serves_mixed_work(t->n->routes, t->n->settings.service),
+        now_us);
+    admission_result verdict = target_queue_decide(t->queue, &request, now_us);
     if (verdict.displaced != ADMISSION_NONE) {
         local_target_fail_call(t->calls[verdict.displaced], OUTCOME_NOT_RUN,
                                REASON_QUEUE_DISPLACED, false);
@@ -296,7 +301,7 @@
     if (t->n->ending) {
         return;
     }
-    while (admission_pop(&handle, t->admission, t->n->l->now_us)) {
+    while (target_queue_pop(&handle, t->queue, t->n->l->now_us)) {
         local_target_call *call = t->calls[handle];
         enum reason reason = REASON_NONE;
         call->running = true;
@@ -333,7 +338,8 @@
                                             LOCAL_TARGET_CALL_TIME_WEIGHT;
     }
     overload_count_end(&t->overload);
-    admission_release_slot(t->admission, failed ? -1 : took_us, now_us);
+    target_queue_end_call(t->queue, call->handle, failed ? -1 : took_us,
+                          now_us);
     local_target_end_run(call);
     local_target_call_free(call);
     local_target_dispatch_queued(t);
@@ -372,7 +378,7 @@
     counter_add(COUNTER_CANCELS, 1);
     local_target_log_cancel(call);
     if (!call->running) {
-        admission_remove(t->admission, call->handle);
+        target_queue_remove(t->queue, call->handle);
         dispatch_mark_refused(t->dispatches, call->nonce);
         local_target_call_free(call);
         return;
@@ -380,7 +386,7 @@
     if (call->c != NULL) {
         http_conn_close(call->c);
     }
-    admission_release_slot(t->admission, -1, t->n->l->now_us);
+    target_queue_end_call(t->queue, call->handle, -1, t->n->l->now_us);
     local_target_end_run(call);
     local_target_call_free(call);
     local_target_dispatch_queued(t);
@@ -399,7 +405,7 @@
         bool sent = call->running && call->c != NULL &&
                     http_conn_is_connected(call->c);
         if (!call->running) {
-            admission_remove(t->admission, call->handle);
+            target_queue_remove(t->queue, call->handle);
         }
         local_target_fail_call(call, sent ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
                                REASON_STOPPING, sent);
--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -217,8 +217,7 @@
     local_target *t = call->target;
     call->c = NULL;
     conn_pool_put(t->n->pool, c, call->body_sent ? call->keep_alive_us : 0);
-    local_target_trim_connections(t,
-                                  admission_in_flight_count(t->admission) - 1);
+    local_target_trim_connections(t, target_queue_running_count(t->queue) - 1);
     if (call->refusal != REASON_NONE) {
         local_target_fail_refused(call);
         return;
@@ -281,8 +280,7 @@
     }
     call->reused_connection = c != NULL;
     if (c == NULL) {
-        local_target_trim_connections(t,
-                                      admission_in_flight_count(t->admission));
+        local_target_trim_connections(t, target_queue_running_count(t->queue));
     }
     if (c == NULL && http_conn_connect(&c, t->n->l, &t->address,
                                        LOCAL_TARGET_CONNECT_TIMEOUT_US,
--- a/src/flow/local_target_log.c
+++ b/src/flow/local_target_log.c
@@ -25,9 +25,9 @@
         outcome_name(failure->outcome), "reason", reason_name(failure->reason),
         "reached_target", failure->reached, "instance", t->instance, "state",
         instance_state_name(local_target_state(t)), "running",
-        admission_in_flight_count(t->admission), "limit",
-        admission_get_limit(t->admission), "per_s", local_target_rate_per_s(t),
-        "waiting", admission_queued_count(t->admission), "demand",
+        target_queue_running_count(t->queue), "limit",
+        target_queue_get_limit(t->queue), "per_s", local_target_rate_per_s(t),
+        "waiting", target_queue_queued_count(t->queue), "demand",
         t->overload.factor, "depth", r->depth, "waited_us",
         (json_int_t)(t->n->l->now_us - r->arrived_us), "left_us",
         (json_int_t)(r->deadline_us - t->n->l->now_us));
@@ -51,9 +51,9 @@
               "waited_us",
               (json_int_t)((call->running ? call->started_us : now_us) -
                            r->arrived_us),
-              "beside", admission_in_flight_count(t->admission), "limit",
-              admission_get_limit(t->admission), "waiting",
-              admission_queued_count(t->admission), "depth", r->depth);
+              "beside", target_queue_running_count(t->queue), "limit",
+              target_queue_get_limit(t->queue), "waiting",
+              target_queue_queued_count(t->queue), "depth", r->depth);
 }
 
 /* Logs the admission level that the target measures, while it limits requests,
@@ -70,6 +70,6 @@
               "share", level, "demand", t->overload.mean_demand, "capacity",
               t->overload.mean_capacity, "target",
               OVERLOAD_TARGET_MAX - t->overload.relief, "running",
-              admission_in_flight_count(t->admission), "waiting",
-              admission_queued_count(t->admission));
+              target_queue_running_count(t->queue), "waiting",
+              target_queue_queued_count(t->queue));
 }
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -5,7 +5,6 @@
 #ifndef LAV_LOCAL_TARGET_PRIVATE_H
 #define LAV_LOCAL_TARGET_PRIVATE_H
 
-#include "lav/admission.h"
 #include "lav/clock.h"
 #include "lav/target_queue.h"
 #include "lav/departed_targets.h"
@@ -26,7 +25,7 @@
 #define LOCAL_TARGET_ENTRIES_WAIT_S 0.5
 
 /* Largest number of calls queued or running at the target. */
-#define LOCAL_TARGET_CALLS_MAX 4096
+#define LOCAL_TARGET_CALLS_MAX TARGET_QUEUE_HANDLES_MAX
 
 struct local_target {
     runtime *n;
@@ -58,7 +57,7 @@
     double failure_rate;     /* of recent calls, 0 to 1 */
     double call_us;          /* mean time of recent calls in the target */
     bool responded; /* since this start of the node, and of the target */
-    admission_queue *admission;
+    target_queue *queue;
     overload_meter overload;
     dispatch_table *dispatches; /* of non-idempotent attempts */
     local_target_call *calls[LOCAL_TARGET_CALLS_MAX];
--- a/src/flow/local_target_rate.c
+++ b/src/flow/local_target_rate.c
@@ -17,7 +17,7 @@
 double
 local_target_rate_per_s(const local_target *t)
 {
-    const rate_limit *rate = admission_get_rate(t->admission);
+    const rate_limit *rate = target_queue_get_rate(t->queue);
     return rate->set ? rate->per_s : LOCAL_TARGET_NOT_LIMITED;
 }
 
@@ -28,10 +28,10 @@
 {
     double before_per_s = local_target_rate_per_s(t);
     if (rate->limited) {
-        admission_set_rate(t->admission, rate->per_s, t->n->l->now_us);
+        target_queue_set_rate(t->queue, rate->per_s, t->n->l->now_us);
     }
     else {
-        admission_clear_rate(t->admission);
+        target_queue_clear_rate(t->queue);
     }
     double per_s = local_target_rate_per_s(t);
     if (per_s != before_per_s &&
@@ -83,8 +83,8 @@
 int
 local_target_concurrency(const local_target *t)
 {
-    const rate_limit *rate = admission_get_rate(t->admission);
-    int slots = admission_get_limit(t->admission);
+    const rate_limit *rate = target_queue_get_rate(t->queue);
+    int slots = target_queue_get_limit(t->queue);
     if (!rate->set) {
         return slots;
     }
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -301,7 +301,7 @@
                       http_head_get_field(head, t->n->header_names->load)) &&
         orphan_calls_load_parse(&load, text) &&
         orphan_calls_update(&t->orphans, &load,
-                            admission_in_flight_count(t->admission))) {
+                            target_queue_running_count(t->queue))) {
         local_target_update_limit(t);
         if (orphan_calls_count(&t->orphans) == 0) {
             log_event(LOG_INFO, "earlier_calls_over", NULL, "{s:s}",
--- a/src/flow/local_target_state.c
+++ b/src/flow/local_target_state.c
@@ -50,7 +50,7 @@
     t->drain_cutoff_us =
         t->registered ? runtime_drain_cutoff_us(t->n) : t->n->l->now_us;
     log_event(LOG_INFO, "target_leaves", NULL, "{s:s,s:i,s:b}", "instance",
-              t->instance, "running", admission_in_flight_count(t->admission),
+              t->instance, "running", target_queue_running_count(t->queue),
               "heard", t->registered);
 }
 
@@ -69,7 +69,7 @@
     t->draining = false;
     t->down = false;
     t->responded = false;
-    admission_clear_rate(t->admission);
+    target_queue_clear_rate(t->queue);
     t->failure_rate = 0;
     t->orphans = (orphan_calls){0};
     t->unconfirmed = (local_target_heartbeat){0};
@@ -159,7 +159,7 @@
     if (!t->down && call->generation == t->generation) {
         log_event(LOG_WARN, "target_lost", NULL, "{s:s,s:s,s:i}", "instance",
                   t->instance, "why", why, "running",
-                  admission_in_flight_count(t->admission));
+                  target_queue_running_count(t->queue));
         t->down = true;
         local_target_announce_state(t);
     }
