platform_desired, hop: read workspaces, carry their id between nodes

The desired state may hold workspaces with API keys, and routes that need no key; neither was read. They are read whole or the desired state is refused: wrong fields, a key that two hold, a name that can't stand in a header field. The reason in the log names no key. A desired state without workspaces leaves routing_get_workspaces() at NULL.

Between nodes the id of a request's workspace travels in a line of its own, written only if there is one, so that nothing changes on the wire elsewhere. The route type "download" is idempotent.

--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -306,6 +306,7 @@
                        .retry_probability = r->retry_probability,
                        .idempotent = r->idempotent,
                        .weight = r->weight,
+                       .workspace = r->workspace,
                        .rate = instance_get_rate(f->n->fleet, f->member)};
     g_strlcpy(hop.instance, instance, sizeof(hop.instance));
     runtime_list_levels(&hop.levels, f->n, 0);
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -138,7 +138,7 @@
     return http_str_equals_nocase(name, fields->time_left_ms) ||
            http_str_equals_nocase(name, fields->caller_service) ||
            http_str_equals_nocase(name, fields->instance) ||
-           http_str_equals_nocase(name, HOP_HEADER);
+           hop_is_field(name);
 }
 
 /* Returns how many milliseconds the caller will wait, or 0 if the request does
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -7,7 +7,9 @@
 
 #include "lav/err.h"
 
-#define HOP_VALUE_SIZE 384 /* bytes of a field value, with the NUL */
+#define HOP_VALUE_SIZE 384         /* bytes of a field value, with the NUL */
+#define HOP_WORKSPACE_VALUE_SIZE 9 /* 8 digits and the NUL */
+#define HOP_HEX_DIGITS "0123456789abcdef"
 
 /* Older nodes send neither the rate limit nor the weight. */
 #define HOP_REQUEST_VALUES_MIN 13
@@ -75,7 +77,7 @@
     return 0;
 }
 
-/* Appends the header line that accompanies a forwarded request. */
+/* Appends the header lines that accompany a forwarded request. */
 void
 hop_write_request(bytebuf *out, const hop_request *request)
 {
@@ -93,6 +95,34 @@
                     request->instance, hop_encode_rate(&request->rate),
                     (int)(request->weight * HOP_PERMILLE));
     hop_write_levels(out, &request->levels);
+    if (request->workspace != WORKSPACE_NONE) {
+        bytebuf_appendf(out, HOP_WORKSPACE_HEADER ": %" PRIx32 "\r\n",
+                        request->workspace);
+    }
+}
+
+/* Parses the value of the header field that names the workspace, which not
+ * every request has; ERR_INVALID if it is not an id. */
+int
+hop_read_workspace(hop_request *out, http_str value)
+{
+    char text[HOP_WORKSPACE_VALUE_SIZE];
+    out->workspace = WORKSPACE_NONE;
+    if (value.bytes == NULL) {
+        return 0;
+    }
+    bool valid = http_str_copy(text, sizeof(text), value) &&
+                 strspn(text, HOP_HEX_DIGITS) == value.length &&
+                 sscanf(text, "%" SCNx32, &out->workspace) == 1;
+    return valid && out->workspace != WORKSPACE_NONE ? 0 : ERR_INVALID;
+}
+
+/* Whether a header field is one of those that nodes attach. */
+bool
+hop_is_field(http_str name)
+{
+    return http_str_equals_nocase(name, HOP_HEADER) ||
+           http_str_equals_nocase(name, HOP_WORKSPACE_HEADER);
 }
 
 /* Parses the value of a request's header field; ERR_INVALID if a part is
--- a/src/flow/hop.h
+++ b/src/flow/hop.h
@@ -1,5 +1,5 @@
 /*
- * hop: the header field that nodes attach to a forwarded request and to its
+ * hop: the header fields that nodes attach to a forwarded request and to its
  * response, with routing data one way and the outcome and a load report the
  * other way.  Values from other nodes are validated like any other input.
  */
@@ -15,9 +15,13 @@
 #include "lav/instance.h"
 #include "lav/reason.h"
 #include "lav/service_level.h"
+#include "lav/workspace.h"
 
 #define HOP_HEADER "Lav-Hop"
 
+/* Id of the caller's workspace, with a request of one. */
+#define HOP_WORKSPACE_HEADER "Lav-Workspace"
+
 /* Admission levels passed on with a request or a response, at most. */
 #define HOP_LEVELS_MAX 2
 
@@ -46,6 +50,7 @@
     instance_rate rate; /* that the instance has named, to the sender */
     double weight;      /* the demand that it stands for */
     hop_levels levels;
+    uint32_t workspace; /* id, or WORKSPACE_NONE */
 } hop_request;
 
 /* Sent with the response. */
@@ -66,6 +71,8 @@
 
 void hop_write_request(bytebuf *out, const hop_request *request);
 int hop_read_request(hop_request *out, http_str value);
+int hop_read_workspace(hop_request *out, http_str value);
+bool hop_is_field(http_str name);
 void hop_write_response(bytebuf *out, const hop_response *response);
 int hop_read_response(hop_response *out, http_str value);
 
--- a/src/flow/peer_server.c
+++ b/src/flow/peer_server.c
@@ -134,7 +134,7 @@
 peer_server_skip_field(http_str name, void *payload)
 {
     (void)payload;
-    return http_str_equals_nocase(name, HOP_HEADER);
+    return hop_is_field(name);
 }
 
 /* Parses the nonce that follows the prefix of a query's path. */
@@ -214,6 +214,7 @@
     q->r.objective_us = hop->objective_us;
     q->r.idempotent = hop->idempotent;
     q->r.priority = hop->priority;
+    q->r.workspace = hop->workspace;
     q->r.depth = hop->depth;
     q->r.route = hop->route;
     q->r.origin = hop->origin;
@@ -238,9 +239,12 @@
         peer_server_handle_query(s, head);
         return HTTP_CONN_ACCEPT;
     }
-    peer_server_request *q = hop_read_request(&hop, field) == 0
-                                 ? peer_server_request_new(s, head, &hop)
-                                 : NULL;
+    bool valid =
+        hop_read_request(&hop, field) == 0 &&
+        hop_read_workspace(
+            &hop, http_head_get_field(head, HOP_WORKSPACE_HEADER)) == 0;
+    peer_server_request *q =
+        valid ? peer_server_request_new(s, head, &hop) : NULL;
     if (q == NULL) {
         log_write(LOG_WARN, NULL,
                   "invalid hop field in a peer's request, or out of memory");
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -36,6 +36,8 @@
     const char *load;           /* running, queued and slots of the target */
     const char *rate_limit;     /* requests a second that the target takes */
     const char *leaving;        /* response: "1" if the target leaves */
+    const char *authorization;  /* the API key of a caller */
+    const char *workspace;      /* name of the caller's workspace */
 } runtime_header_names;
 
 /* Decodes a desired state from text.  Returns 0 and a new routing table, or a
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -422,6 +422,51 @@
     }
 }
 
+typedef struct hop_workspace_case {
+    const char *value; /* NULL: no such field */
+    bool valid;
+    uint32_t workspace;
+} hop_workspace_case;
+
+static const hop_workspace_case hop_workspace_cases[] = {
+    {NULL, true, WORKSPACE_NONE},
+    {"1f", true, 0x1f},
+    {"ffffffff", true, UINT32_MAX},
+    {"1ffffffff", false, 0},
+    {"0", false, 0},
+    {"", false, 0},
+    {"-1", false, 0},
+    {"1 ", false, 0},
+    {"0x1f", false, 0},
+    {"name", false, 0},
+};
+
+/* The workspace travels in a line of its own, which is left out if there is
+ * none. */
+Test(flow, hop_workspaces)
+{
+    hop_request request = {0};
+    for (size_t i = 0; i < COUNT(hop_workspace_cases); i++) {
+        const hop_workspace_case *c = &hop_workspace_cases[i];
+        http_str value = {c->value, c->value == NULL ? 0 : strlen(c->value)};
+        int result = hop_read_workspace(&request, value);
+        cr_expect_eq(result == 0, c->valid, "case %zu", i);
+        if (c->valid) {
+            bytebuf out = {0};
+            char line[64];
+            cr_expect_eq(request.workspace, c->workspace, "case %zu", i);
+            hop_write_request(&out, &request);
+            bytebuf_append(&out, "", 1);
+            snprintf(line, sizeof(line), "Lav-Workspace: %s\r\n", c->value);
+            cr_expect_eq(strstr(bytebuf_data(&out), line) != NULL,
+                         c->value != NULL);
+            cr_expect_eq(strstr(bytebuf_data(&out), "Lav-Workspace") != NULL,
+                         c->value != NULL);
+            bytebuf_clear(&out);
+        }
+    }
+}
+
 Test(flow, hop_headers_are_validated)
 {
     hop_response reply;
--- a/tests/unit/platform_test.c
+++ b/tests/unit/platform_test.c
@@ -130,6 +130,171 @@
     routing_free(set);
 }
 
+/* The reader of a desired state takes the workspaces as a whole or refuses
+ * all of it. */
+#define WORKSPACE(name, keys)                                                 \
+    "{\"name\":\"" name "\",\"api_keys\":[" keys "],\"priority\":1,"          \
+    "\"rate_per_s\":34.5,\"burst\":20}"
+
+typedef struct workspaces_case {
+    const char *text; /* list of workspaces */
+    int count;        /* -1: refused */
+} workspaces_case;
+
+static const workspaces_case workspaces_cases[] = {
+    {"[]", 0},
+    {"[" WORKSPACE("a", "\"k1\",\"k2\"") "," WORKSPACE("b", "\"k3\"") "]", 2},
+    {"[" WORKSPACE("a", "\"k1\",\"k1\"") "]", 1},
+    {"[" WORKSPACE("a", "") "]", 1},
+    {"[{\"name\":\"a\",\"api_keys\":[\"k\"]}]", 1},
+    {"[{\"name\":\"a\",\"api_keys\":[\"k\"],\"rate_per_s\":0}]", 1},
+    {"[" WORKSPACE("a", "\"k1\"") "," WORKSPACE("b", "\"k1\"") "]", -1},
+    {"[" WORKSPACE("a", "\"k1\"") "," WORKSPACE("a", "\"k2\"") "]", -1},
+    {"[" WORKSPACE("a", "\"k1\"") ",5]", -1},
+    {"[" WORKSPACE("", "\"k1\"") "]", -1},
+    {"[" WORKSPACE("a\\r\\nX: y", "\"k1\"") "]", -1},
+    {"[" WORKSPACE(" a", "\"k1\"") "]", -1},
+    {"[" WORKSPACE("a\\u0000b", "\"k1\"") "]", -1},
+    {"[" WORKSPACE("a", "\"\"") "]", -1},
+    {"[" WORKSPACE("a", "\"k 1\"") "]", -1},
+    {"[" WORKSPACE("a", "5") "]", -1},
+    {"[" WORKSPACE("a", "null") "]", -1},
+    {"[{\"api_keys\":[\"k\"]}]", -1},
+    {"[{\"name\":\"a\"}]", -1},
+    {"[{\"name\":5,\"api_keys\":[]}]", -1},
+    {"[{\"name\":\"a\",\"api_keys\":\"k\"}]", -1},
+    {"[{\"name\":\"a\",\"api_keys\":[],\"priority\":-1}]", -1},
+    {"[{\"name\":\"a\",\"api_keys\":[],\"priority\":\"1\"}]", -1},
+    {"[{\"name\":\"a\",\"api_keys\":[],\"rate_per_s\":-1}]", -1},
+    {"[{\"name\":\"a\",\"api_keys\":[],\"rate_per_s\":\"9\"}]", -1},
+    {"[{\"name\":\"a\",\"api_keys\":[],\"burst\":null}]", -1},
+    {"{}", -1},
+    {"null", -1},
+    {"\"a\"", -1},
+};
+
+Test(platform, workspaces)
+{
+    for (size_t i = 0; i < COUNT(workspaces_cases); i++) {
+        err e = ERR_INIT;
+        routing_table *set = NULL;
+        const workspaces_case *c = &workspaces_cases[i];
+        char text[1024];
+        int size = snprintf(text, sizeof(text),
+                            "{\"version\":\"0c\",\"routes\":[" ROUTE
+                            "]," LIMITS ",\"tenants\":%s}",
+                            c->text);
+        int result = platform_desired_decode(&set, text, (size_t)size, &e);
+        cr_assert_eq(result == 0, c->count >= 0, "case %zu: %s", i, e.message);
+        cr_expect_null(strstr(e.message, "k1"), "%s", e.message);
+        if (result == 0) {
+            const workspace_table *table = routing_get_workspaces(set);
+            cr_assert_not_null(table, "case %zu", i);
+            cr_expect_eq((int)workspace_count(table), c->count, "case %zu", i);
+        }
+        routing_free(set);
+    }
+}
+
+Test(platform, a_desired_state_without_workspaces)
+{
+    err e = ERR_INIT;
+    routing_table *set = NULL;
+    const char *text = desired_cases[0].text;
+    cr_assert_eq(platform_desired_decode(&set, text, strlen(text), &e), 0);
+    cr_expect_null(routing_get_workspaces(set));
+    routing_free(set);
+}
+
+Test(platform, keys_of_workspaces)
+{
+    err e = ERR_INIT;
+    routing_table *set = NULL;
+    const char *text =
+        "{\"version\":\"0c\",\"routes\":[" ROUTE "]," LIMITS ",\"tenants\":"
+        "[" WORKSPACE("a", "\"k1\",\"k2\"") "," WORKSPACE("b", "\"k3\"") "]}";
+    cr_assert_eq(platform_desired_decode(&set, text, strlen(text), &e), 0);
+    const workspace_table *table = routing_get_workspaces(set);
+    const workspace *a = workspace_find_key(table, "k2+", 2);
+    cr_assert_not_null(a);
+    cr_expect_str_eq(a->name, "a");
+    cr_expect_eq(a->priority, 1);
+    cr_expect_float_eq(a->rate_per_s, 34.5, 1e-9);
+    cr_expect_float_eq(a->burst, 20, 1e-9);
+    cr_expect_eq(workspace_get(table, a->id), a);
+    cr_expect_eq(workspace_find_key(table, "k1", 2), a);
+    cr_expect_neq(workspace_find_key(table, "k3", 2), a);
+    cr_expect_null(workspace_find_key(table, "k", 1));
+    cr_expect_null(workspace_find_key(table, "K1", 2));
+    cr_expect_null(workspace_find_key(table, "", 0));
+    routing_free(set);
+}
+
+Test(platform, thousands_of_keys)
+{
+    err e = ERR_INIT;
+    routing_table *set = NULL;
+    GString *text = g_string_new("{\"version\":\"0c\",\"routes\":[" ROUTE
+                                 "]," LIMITS ",\"tenants\":[");
+    for (int i = 0; i < 2000; i++) {
+        g_string_append_printf(
+            text, "%s{\"name\":\"w%d\",\"api_keys\":[\"k%d\",\"l%d\"]}",
+            i == 0 ? "" : ",", i, i, i);
+    }
+    g_string_append(text, "]}");
+    cr_assert_eq(platform_desired_decode(&set, text->str, text->len, &e), 0,
+                 "%s", e.message);
+    const workspace_table *table = routing_get_workspaces(set);
+    cr_expect_eq(workspace_count(table), 2000);
+    const workspace *found = workspace_find_key(table, "l1999", 5);
+    cr_assert_not_null(found);
+    cr_expect_str_eq(found->name, "w1999");
+    routing_free(set);
+    g_string_free(text, TRUE);
+}
+
+typedef struct route_case {
+    const char *kind;
+    const char *exempt; /* value of auth_exempt, or NULL */
+    bool valid;
+    bool idempotent;
+    bool is_exempt;
+} route_case;
+
+static const route_case route_cases[] = {
+    {"idempotent", NULL, true, true, false},
+    {"download", "false", true, true, false},
+    {"non_idempotent", "true", true, false, true},
+    {"idempotent", "1", false, false, false},
+    {"idempotent", "\"true\"", false, false, false},
+    {"idempotent", "null", false, false, false},
+};
+
+Test(platform, kinds_and_exemption_of_routes)
+{
+    for (size_t i = 0; i < COUNT(route_cases); i++) {
+        err e = ERR_INIT;
+        routing_table *set = NULL;
+        const route_case *c = &route_cases[i];
+        char text[1024];
+        int size = snprintf(
+            text, sizeof(text),
+            "{\"version\":\"0c\",\"routes\":[{\"host\":\"h\",\"path_prefix\":"
+            "\"/\",\"route_type\":\"%s\",\"timeout\":\"1s\",\"service\":\"s\""
+            "%s%s}]," LIMITS "}",
+            c->kind, c->exempt == NULL ? "" : ",\"auth_exempt\":",
+            c->exempt == NULL ? "" : c->exempt);
+        int result = platform_desired_decode(&set, text, (size_t)size, &e);
+        cr_assert_eq(result == 0, c->valid, "case %zu", i);
+        if (c->valid) {
+            const routing_route *route = routing_find(set, "h", 1, "/", 1);
+            cr_expect_eq(route->idempotent, c->idempotent, "case %zu", i);
+            cr_expect_eq(route->auth_exempt, c->is_exempt, "case %zu", i);
+        }
+        routing_free(set);
+    }
+}
+
 typedef struct heartbeat_case {
     const char *text;
     bool valid;
