frontend_identity: find a request's workspace by its API key

Keys were passed on to targets and forged names too, whoever asked was served, and priorities were the route's alone. The node that takes a request now looks its key up once: the key is taken off, the workspace's name set whatever the caller sent, and its priority goes before the route's. Nothing of it happens while the desired state holds no workspaces.

An unknown key gets 401 only if no newer version may be in force: a peer has named none, the store's last answer was one, and the store or a peer was heard in the last 3 s. Otherwise 503 (config_contact). When a desired state comes into force, requests that wait at their first node are looked up again.

What follows identification is frontend_admit_request(), which can be called later for a request that was parked.

--- a/include/lav/workspace.h
+++ b/include/lav/workspace.h
@@ -40,6 +40,7 @@
                                     const char *key, size_t length);
 const workspace *workspace_get(const workspace_table *table, uint32_t id);
 size_t workspace_count(const workspace_table *table);
+size_t workspace_key_count(const workspace_table *table);
 
 #ifdef __cplusplus
 }
--- a/src/core/workspace.c
+++ b/src/core/workspace.c
@@ -130,3 +130,10 @@
 {
     return g_hash_table_size(table->ids);
 }
+
+/* Returns the number of API keys of all workspaces. */
+size_t
+workspace_key_count(const workspace_table *table)
+{
+    return g_hash_table_size(table->keys);
+}
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "frontend_identity.h"
 #include "frontend_log.h"
 #include "frontend_private.h"
 #include "lav/clock.h"
@@ -74,6 +75,7 @@
     ev_timer_stop(q->n->l->loop, &q->deadline);
     q->n->requests--;
     g_queue_unlink(&q->n->caller_requests, &q->link);
+    frontend_identity_clear(q);
     attempt_request_clear(&q->r);
     bytebuf_clear(&q->fields);
     bytebuf_clear(&q->buffered);
@@ -90,15 +92,16 @@
 }
 
 /* Responds with an error of the node itself.  A 503 states that the request
- * has not run and never will, and carries Retry-After. */
+ * has not run and never will, and carries Retry-After.  Nor has a request run
+ * that gets a 401. */
 void
 frontend_respond_error(frontend_request *q, int status, enum reason reason)
 {
     bytebuf fields = {0};
     counter_add_reason(reason);
-    counter_add(status == HTTP_STATUS_SERVICE_UNAVAILABLE ? COUNTER_NOT_RUN
-                                                          : COUNTER_UNKNOWN,
-                1);
+    bool not_run = status == HTTP_STATUS_SERVICE_UNAVAILABLE ||
+                   status == HTTP_STATUS_UNAUTHORIZED;
+    counter_add(not_run ? COUNTER_NOT_RUN : COUNTER_UNKNOWN, 1);
     frontend_log_error_response(q, status, reason);
     if (status == HTTP_STATUS_SERVICE_UNAVAILABLE) {
         int64_t after_us = q->r.retry_after_us > 0
@@ -107,6 +110,9 @@
         bytebuf_appendf(&fields, "Retry-After: %.3f\r\n",
                         (double)after_us / CLOCK_US_PER_S);
     }
+    else if (status == HTTP_STATUS_UNAUTHORIZED) {
+        bytebuf_append_text(&fields, "WWW-Authenticate: Bearer\r\n");
+    }
     server_conn_write_head(q->s, status, &fields, HTTP_CONN_BODY_LENGTH, 0);
     bytebuf_clear(&fields);
     frontend_finish_request(q);
@@ -130,11 +136,17 @@
 }
 
 /* Selects the fields of a request that are not forwarded, as nodes set them
- * themselves. */
+ * themselves.  Where there are workspaces, API keys stay here. */
 static bool
 frontend_skip_request_field(http_str name, void *payload)
 {
-    const runtime_header_names *fields = payload;
+    const runtime *n = payload;
+    const runtime_header_names *fields = n->header_names;
+    if (routing_get_workspaces(n->routes) != NULL &&
+        (http_str_equals_nocase(name, fields->authorization) ||
+         http_str_equals_nocase(name, fields->workspace))) {
+        return true;
+    }
     return http_str_equals_nocase(name, fields->time_left_ms) ||
            http_str_equals_nocase(name, fields->caller_service) ||
            http_str_equals_nocase(name, fields->instance) ||
@@ -233,12 +245,12 @@
     if (time_left_us == 0 || time_left_us > route->timeout_us) {
         time_left_us = route->timeout_us;
     }
-    attempt_request_init(r, head, frontend_skip_request_field,
-                         (void *)n->header_names);
+    attempt_request_init(r, head, frontend_skip_request_field, n);
     bytebuf_appendf(&r->fields, "%s: %s\r\n", n->header_names->caller_service,
                     n->settings.service);
     r->idempotent = route->idempotent;
     r->priority = route->priority;
+    frontend_set_workspace(q, route->priority);
     r->objective_us = route->objective_us;
     r->deadline_us = r->arrived_us + time_left_us;
     r->route = route->key;
@@ -265,8 +277,29 @@
     ev_timer_start(n->l->loop, &q->deadline);
 }
 
-/* Receives a request head: validates, routes and admits the request, or
- * refuses it, and starts its first attempt. */
+/* Admits a request that was identified and routed, and starts its first
+ * attempt, or refuses it. */
+void
+frontend_admit_request(frontend_request *q)
+{
+    runtime *n = q->n;
+    if (q->r.depth == 0 &&
+        !shedder_admit(n->shedder, q->r.route, q->r.priority, n->l->now_us)) {
+        q->r.retry_after_us =
+            retry_after_shed_us(q->r.objective_us, runtime_random());
+        frontend_respond_error(q, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                               REASON_EARLY_REFUSAL);
+        return;
+    }
+    if (q->r.depth == 0) {
+        q->r.weight =
+            1 / shedder_get_limit(n->shedder, q->r.route, n->l->now_us).level;
+    }
+    frontend_start_attempt(q);
+}
+
+/* Receives a request head: validates, identifies and routes the request, or
+ * refuses it. */
 static enum http_conn_head_result
 frontend_on_head(http_conn *c, const http_head *head, void *payload)
 {
@@ -281,27 +314,18 @@
         free(s);
         return HTTP_CONN_CLOSED;
     }
+    q->r.retry_after_us = RETRY_AFTER_NO_TARGET_US;
     int status = frontend_validate_head(s->n, head, &route, &reason);
+    if (status == 0) {
+        status = frontend_identify(q, head, route, &reason);
+    }
     if (status != 0) {
-        q->r.retry_after_us = RETRY_AFTER_NO_TARGET_US;
         frontend_respond_error(q, status, reason);
         return HTTP_CONN_ACCEPT;
     }
+    q->r.retry_after_us = 0;
     frontend_apply_route(q, head, route);
-    if (q->r.depth == 0 && !shedder_admit(s->n->shedder, route->key,
-                                          route->priority, s->n->l->now_us)) {
-        q->r.retry_after_us =
-            retry_after_shed_us(q->r.objective_us, runtime_random());
-        frontend_respond_error(q, HTTP_STATUS_SERVICE_UNAVAILABLE,
-                               REASON_EARLY_REFUSAL);
-        return HTTP_CONN_ACCEPT;
-    }
-    if (q->r.depth == 0) {
-        q->r.weight =
-            1 / shedder_get_limit(s->n->shedder, route->key, s->n->l->now_us)
-                    .level;
-    }
-    frontend_start_attempt(q);
+    frontend_admit_request(q);
     return HTTP_CONN_ACCEPT;
 }
 
--- a/src/flow/frontend.h
+++ b/src/flow/frontend.h
@@ -12,5 +12,6 @@
 void frontend_accept(int fd, const struct sockaddr_in *from, void *payload);
 void frontend_end_attempts(runtime *n);
 void frontend_end_requests(runtime *n);
+void frontend_on_config(runtime *n);
 
 #endif
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "frontend_identity.h"
 #include "frontend_log.h"
 #include "frontend_private.h"
 #include "lav/clock.h"
@@ -180,6 +181,9 @@
 frontend_start_attempt(frontend_request *q)
 {
     for (;;) {
+        if (!frontend_identity_recheck(q)) {
+            return;
+        }
         int member =
             q->resend_to != INSTANCE_NONE
                 ? q->resend_to
--- a/src/flow/frontend_log.c
+++ b/src/flow/frontend_log.c
@@ -55,6 +55,28 @@
               (json_int_t)runtime_config_version(n));
 }
 
+/* Logs a request whose key was refused, with the desired state that decided
+ * and what is known of a newer one; never the key itself. */
+void
+frontend_log_refused_key(const frontend_request *q, int status,
+                         enum reason reason)
+{
+    const runtime *n = q->n;
+    if (!log_allow_line("key_refused", LOG_LINES_PER_S)) {
+        return;
+    }
+    log_event(LOG_INFO, "key_refused", q->r.id,
+              "{s:i,s:s,s:b,s:I,s:s,s:I,s:I,s:I,s:b,s:I}", "status", status,
+              "reason", reason_name(reason), "key_given",
+              q->identity.key != NULL, "desired",
+              (json_int_t)runtime_config_version(n), "from", n->config_source,
+              "age_us", (json_int_t)(n->l->now_us - n->config_since_us),
+              "newest_heard", (json_int_t)n->contact.heard_version,
+              "heard_us_ago", (json_int_t)(n->l->now_us - n->contact.heard_us),
+              "store_follows", n->contact.store_follows, "waited_us",
+              (json_int_t)(n->l->now_us - q->r.arrived_us));
+}
+
 /* Logs a failed attempt and its reason. */
 void
 frontend_log_failed_attempt(const frontend_request *q,
--- a/src/flow/frontend_log.h
+++ b/src/flow/frontend_log.h
@@ -10,6 +10,8 @@
 const char *frontend_log_rate_group(enum reason reason, int status, int depth);
 void frontend_log_error_response(const frontend_request *q, int status,
                                  enum reason reason);
+void frontend_log_refused_key(const frontend_request *q, int status,
+                              enum reason reason);
 void frontend_log_failed_attempt(const frontend_request *q,
                                  const attempt_failure *failure);
 void frontend_log_denied_retry(const frontend_request *q,
--- a/src/flow/frontend_private.h
+++ b/src/flow/frontend_private.h
@@ -31,11 +31,23 @@
     } handle;
 } frontend_attempt;
 
+/* Whose request it is, see frontend_identity. */
+typedef struct frontend_identity {
+    char *key;              /* that it bears; NULL: none, or not asked for */
+    const workspace *entry; /* found, until it has been applied */
+    uint64_t version;       /* of the desired state that it was found in */
+    bool checked;           /* that desired state holds workspaces */
+    bool exempt;            /* the route needs no key */
+    int route_priority;
+    size_t fields_end; /* where the workspace's name begins; 0: none set */
+} frontend_identity;
+
 typedef struct frontend_request {
     runtime *n;
     server_conn *s;
     GList link; /* in runtime.caller_requests */
     attempt_request r;
+    frontend_identity identity;
     char service[SVC_NAME_SIZE];
     instance_query query;
     frontend_attempt attempt;
@@ -57,6 +69,7 @@
     bool committed; /* the response head was written to the caller */
 } frontend_request;
 
+void frontend_admit_request(frontend_request *q);
 void frontend_start_attempt(frontend_request *q);
 void frontend_cancel_attempt(frontend_request *q);
 void frontend_respond_error(frontend_request *q, int status,
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -364,6 +364,13 @@
     callbacks->failed(&failure, payload);
 }
 
+/* Whether a call waits for a slot and has not been sent to the target. */
+bool
+local_target_call_is_queued(const local_target_call *call)
+{
+    return !call->running;
+}
+
 /* Cancels a call for its owner; no callback follows. */
 void
 local_target_cancel_call(local_target_call *call)
--- a/src/flow/local_target.h
+++ b/src/flow/local_target.h
@@ -39,6 +39,7 @@
 void local_target_send_body(local_target_call *call);
 void local_target_pause_response(local_target_call *call, bool paused);
 void local_target_cancel_call(local_target_call *call);
+bool local_target_call_is_queued(const local_target_call *call);
 void local_target_end_calls(local_target *t);
 bool local_target_revoke_attempt(local_target *t, uint64_t nonce);
 instance_load_report local_target_load_report(const local_target *t);
--- a/src/flow/metrics.c
+++ b/src/flow/metrics.c
@@ -119,6 +119,22 @@
     }
 }
 
+/* Writes how many workspaces there are; nothing if none exist. */
+static void
+metrics_write_workspaces(bytebuf *out, const runtime *n)
+{
+    const workspace_table *workspaces =
+        n->routes == NULL ? NULL : routing_get_workspaces(n->routes);
+    if (workspaces != NULL) {
+        metrics_write_gauge(out, "lav_workspaces",
+                            "Workspaces of the desired state in force.",
+                            (double)workspace_count(workspaces));
+        metrics_write_gauge(out, "lav_workspace_keys",
+                            "API keys of all workspaces.",
+                            (double)workspace_key_count(workspaces));
+    }
+}
+
 /* Handles a scrape: writes all counters, gauges and the histogram. */
 void
 metrics_handle_request(http_server_response *out,
@@ -168,4 +184,5 @@
     metrics_write_gauge(body, "lav_desired_version",
                         "Version of the desired state in force.",
                         (double)runtime_config_version(n));
+    metrics_write_workspaces(body, n);
 }
--- a/src/flow/peer_server.c
+++ b/src/flow/peer_server.c
@@ -254,6 +254,7 @@
     }
     n->last_peer_contact_us = n->l->now_us;
     runtime_merge_levels(n, &hop.levels);
+    config_contact_hear_peer(&n->contact, hop.config_version, n->l->now_us);
     if (hop.config_version > runtime_config_version(n)) {
         struct sockaddr_in from = *http_conn_peer(c);
         from.sin_port = htons((uint16_t)hop.peer_port);
--- a/src/flow/peer_sync.c
+++ b/src/flow/peer_sync.c
@@ -148,6 +148,10 @@
     }
     json_t *root = json_loadb(response->body, response->length, 0, NULL);
     json_int_t version = json_integer_value(json_object_get(root, "version"));
+    if (version > 0) {
+        config_contact_hear_peer(&s->n->contact, (uint64_t)version,
+                                 s->n->l->now_us);
+    }
     if (version > 0 && (uint64_t)version > runtime_config_version(s->n)) {
         peer_sync_fetch_state(s->n, &s->queried);
     }
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -112,9 +112,22 @@
     return n->routes == NULL ? 0 : routing_version(n->routes);
 }
 
-/* Applies a desired state received from `source`; the text need not be
- * terminated.  Returns ERR_CONFLICT if it
- * is not newer than the one in force, or the decoder's error. */
+/* Logs how many workspaces and API keys a desired state holds, if any. */
+static void
+runtime_log_workspaces(const routing_table *routes)
+{
+    const workspace_table *workspaces = routing_get_workspaces(routes);
+    if (workspaces != NULL) {
+        log_event(LOG_INFO, "workspaces", NULL, "{s:I,s:I,s:I}", "version",
+                  (json_int_t)routing_version(routes), "workspaces",
+                  (json_int_t)workspace_count(workspaces), "keys",
+                  (json_int_t)workspace_key_count(workspaces));
+    }
+}
+
+/* Applies a desired state received from `source`, a static text; `text` need
+ * not be terminated.  Returns ERR_CONFLICT if it is not newer than the one in
+ * force, or the decoder's error. */
 int
 runtime_apply_config(runtime *n, const char *text, size_t length,
                      const char *source)
@@ -135,11 +148,17 @@
               (json_int_t)routing_version(routes), "was",
               (json_int_t)runtime_config_version(n), "routes",
               (json_int_t)routing_count(routes), "from", source);
+    runtime_log_workspaces(routes);
     routing_free(n->routes);
     n->routes = routes;
     g_free(n->config_text);
     n->config_text = g_strndup(text, length);
     n->config_length = length;
+    n->config_source = source;
+    n->config_since_us = n->l->now_us;
+    if (n->on_config != NULL) {
+        n->on_config(n);
+    }
     return 0;
 }
 
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -13,6 +13,7 @@
 #include "http_conn.h"
 #include "conn_pool.h"
 #include "hop.h"
+#include "lav/config_contact.h"
 #include "lav/proxycfg.h"
 #include "lav/downstream.h"
 #include "lav/instance.h"
@@ -52,11 +53,16 @@
 /* Removes the entry of a node that is permanently gone. */
 typedef void (*runtime_remove_member_cb)(const char *node, void *payload);
 
+/* Another desired state has come into force. */
+struct runtime;
+typedef void (*runtime_config_cb)(struct runtime *n);
+
 typedef struct runtime {
     evloop *l;
     proxycfg settings;
     const runtime_header_names *header_names;
     runtime_decode_cb decode;
+    runtime_config_cb on_config; /* NULL: nobody is told */
     runtime_announce_cb announce;
     runtime_remove_member_cb remove_member; /* NULL: entries are not stored */
     void *callback_payload;                 /* of announce and remove_member */
@@ -64,6 +70,9 @@
     routing_table *routes; /* in force; NULL: none is known yet */
     char *config_text;     /* of the desired state in force */
     size_t config_length;
+    const char *config_source; /* that it was received from */
+    int64_t config_since_us;   /* when it came into force */
+    config_contact contact;    /* what is known of newer ones */
     instance_table *fleet;
     downstream_table *downstream; /* overload below each route */
     retry_share_table
--- a/src/http/bytebuf.c
+++ b/src/http/bytebuf.c
@@ -81,6 +81,17 @@
     }
 }
 
+/* Remove all unread bytes but the first `length`; at most
+ * bytebuf_length(). */
+void
+bytebuf_truncate(bytebuf *b, size_t length)
+{
+    b->end = b->head + length;
+    if (length == 0) {
+        bytebuf_clear(b);
+    }
+}
+
 /* Return the number of unread bytes. */
 size_t
 bytebuf_length(const bytebuf *b)
--- a/src/http/bytebuf.h
+++ b/src/http/bytebuf.h
@@ -20,6 +20,7 @@
 void bytebuf_append_text(bytebuf *b, const char *text);
 void bytebuf_appendf(bytebuf *b, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
+void bytebuf_truncate(bytebuf *b, size_t length);
 void bytebuf_consume(bytebuf *b, size_t length);
 size_t bytebuf_length(const bytebuf *b);
 const char *bytebuf_data(const bytebuf *b);
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -71,6 +71,8 @@
 bool harness_store_spec_contains(const char *kind, const char *name,
                                  const char *text);
 void harness_publish_desired(int version, const char *routes);
+void harness_publish_workspaces(int version, const char *routes,
+                                const char *workspaces);
 void harness_start_node(int node);
 void harness_set_clock_offset(int node, int64_t ahead_ms);
 void harness_signal_node(int node, int signal_number);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -240,9 +240,11 @@
     return found;
 }
 
-/* Write a desired state as the operator does; `routes` is a JSON list. */
+/* Write a desired state as the operator does; `routes` and `workspaces` are
+ * JSON lists, the latter NULL if there are none. */
 void
-harness_publish_desired(int version, const char *routes)
+harness_publish_workspaces(int version, const char *routes,
+                           const char *workspaces)
 {
     char digits[16];
     snprintf(digits, sizeof(digits), "%08x", version);
@@ -253,12 +255,22 @@
         HARNESS_HEALTH_PATH, "name", "far", "health_path", HARNESS_HEALTH_PATH,
         "limits", "max_header_bytes", 4096, "max_body_bytes",
         HARNESS_BODY_SIZE_MAX, "header_timeout", "2s", "idle_timeout", "15s");
+    if (workspaces != NULL) {
+        json_object_set_new(spec, "tenants", json_loads(workspaces, 0, NULL));
+    }
     pthread_mutex_lock(&harness_lock);
     harness_put_object("config", "main", spec);
     pthread_mutex_unlock(&harness_lock);
     json_decref(spec);
 }
 
+/* The same without workspaces. */
+void
+harness_publish_desired(int version, const char *routes)
+{
+    harness_publish_workspaces(version, routes, NULL);
+}
+
 /* Order of names; the arguments point to indexes of objects. */
 static int
 harness_compare_names(const void *a, const void *b)
--- a/tests/unit/explain_test.c
+++ b/tests/unit/explain_test.c
@@ -15,6 +15,10 @@
     "\"top\",\"status\":500,\"node\":\"b\",\"took_us\":100000,\"depth\":0}",
     "{\"ms\":250,\"process\":\"a\",\"event\":\"answer\",\"request\":"
     "\"other\",\"status\":503,\"depth\":0}",
+    "{\"ms\":260,\"process\":\"a\",\"event\":\"key_refused\",\"request\":"
+    "\"nokey\",\"status\":401,\"reason\":\"unknown_key\",\"desired\":7}",
+    "{\"ms\":260,\"process\":\"a\",\"event\":\"answer\",\"request\":"
+    "\"nokey\",\"status\":401,\"depth\":0}",
     "not a line of a node",
 };
 static const char *const log_b[] = {
@@ -44,6 +48,7 @@
     {"mid", {"0 b mid", "1 d low", "1 c low"}},
     {"low", {"0 d low", "0 c low"}},
     {"fine", {"0 b fine"}},
+    {"nokey", {"0 a nokey", "0 a nokey"}},
     {"nobody", {NULL}},
 };
 
