soak: workspaces and keys that are withdrawn

Every second seed plays with workspaces: callers bear keys, and each new desired state withdraws one. After the faults each node must refuse the withdrawn key, take the newest one, never have answered 401 to a key that all versions know, and targets must have got a name and no key with every request.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -127,6 +127,7 @@
 int harness_late_arrival_count(void);
 int harness_node_arrival_count(int node);
 int harness_total_arrival_count(int *repeats);
+int harness_named_arrival_count(int *keys);
 
 /* Poll a condition for up to 10 s; evaluates to whether it became true. */
 #define HARNESS_WAIT_FOR(condition)                                           \
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -46,6 +46,8 @@
 static int harness_late_arrivals;
 static int harness_total_arrivals;
 static int harness_repeat_arrivals;
+static int harness_named_arrivals; /* with the name of a workspace */
+static int harness_key_arrivals;   /* with an API key */
 static int harness_fault_permille;
 
 static void
@@ -75,6 +77,8 @@
     memset(harness_node_arrivals, 0, sizeof(harness_node_arrivals));
     harness_late_arrivals = 0;
     harness_total_arrivals = 0;
+    harness_named_arrivals = 0;
+    harness_key_arrivals = 0;
     harness_repeat_arrivals = 0;
     harness_fault_permille = 0;
 }
@@ -141,6 +145,18 @@
     return total;
 }
 
+/* Returns how many arrivals had the name of a workspace, and sets `keys` to
+ * how many had an API key. */
+int
+harness_named_arrival_count(int *keys)
+{
+    pthread_mutex_lock(&harness_lock);
+    int named = harness_named_arrivals;
+    *keys = harness_key_arrivals;
+    pthread_mutex_unlock(&harness_lock);
+    return named;
+}
+
 /* Record the arrival of a request, executed (`runs` 1) or not (0), or that its
  * connection was closed while it ran (-1). */
 static void
@@ -157,6 +173,10 @@
         harness_total_arrivals++;
         harness_node_arrivals[node]++;
         harness_repeat_arrivals += r->arrivals > 0;
+        harness_named_arrivals +=
+            strcasestr(request->head, "\r\nLavenderfield-Tenant: ") != NULL;
+        harness_key_arrivals +=
+            strcasestr(request->head, "\r\nAuthorization:") != NULL;
         harness_late_arrivals +=
             harness_target_close_us[node] != 0 &&
             clock_now_us() > harness_target_close_us[node];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -33,6 +33,8 @@
     int callers;  /* for each node */
     bool planned; /* planned work only: then no request may be cut */
     bool clocks;  /* nodes' times of day jump as well */
+    bool
+        workspaces; /* callers bear keys, of which each version withdraws one */
     bool
         check_timing; /* answers are held to their time; for a quiet machine */
 } soak_options;
@@ -42,6 +44,7 @@
     char id[SOAK_ID_SIZE];
     int status; /* 0: the connection ended without a whole answer */
     bool idempotent;
+    bool lasting_key; /* no version withdraws its key */
 } soak_result;
 
 /* Requested state of the target of a node. */
@@ -76,6 +79,17 @@
 
 void soak_report_violation(soak_run *s, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
+/* What a caller sends as its key: one that no version withdraws, or that of
+ * the newest version, or that of the one before. */
+enum soak_key {
+    SOAK_KEY_LASTING,
+    SOAK_KEY_NEWEST,
+    SOAK_KEY_WITHDRAWN
+};
+
+#define SOAK_KEY_LINE_SIZE 64 /* bytes of a header line, with the NUL */
+
+void soak_write_key(char *line, const soak_run *s, enum soak_key key);
 void *soak_run_registrar(void *payload);
 void *soak_run_caller(void *payload);
 void soak_inject_faults(soak_run *s);
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -7,6 +7,7 @@
 #include "soak.h"
 
 #define SOAK_PAUSE_MS 15 /* between two requests of one caller */
+#define SOAK_KEYS_OF 3   /* one caller of so many has a key that changes */
 
 typedef struct soak_kind {
     const char *method;
@@ -60,15 +61,36 @@
     }
 }
 
+/* Write the header line of a key; an empty one without workspaces. */
+void
+soak_write_key(char *line, const soak_run *s, enum soak_key key)
+{
+    int version = atomic_load(&s->version);
+    line[0] = '\0';
+    if (!s->opts.workspaces) {
+        return;
+    }
+    if (key == SOAK_KEY_LASTING) {
+        snprintf(line, SOAK_KEY_LINE_SIZE,
+                 "Authorization: Bearer lasting\r\n");
+        return;
+    }
+    snprintf(line, SOAK_KEY_LINE_SIZE, "Authorization: Bearer key-%d\r\n",
+             key == SOAK_KEY_NEWEST ? version : version - 1);
+}
+
 /* One request on `*fd`, which is opened if need be and closed after its last
  * answer. */
 static void
 soak_request(soak_run *s, const soak_node *node, int *fd,
-             const soak_kind *kind, const char *id)
+             const soak_kind *kind, const char *id, enum soak_key key)
 {
     char request[512];
+    char key_line[SOAK_KEY_LINE_SIZE];
     harness_response answer;
-    soak_result result = {.idempotent = kind->idempotent};
+    soak_result result = {.idempotent = kind->idempotent,
+                          .lasting_key = key == SOAK_KEY_LASTING};
+    soak_write_key(key_line, s, key);
     bool fresh = *fd < 0;
     if (fresh) {
         *fd = harness_connect(node->index);
@@ -79,9 +101,9 @@
     }
     int size = snprintf(request, sizeof(request),
                         "%s %s HTTP/1.1\r\nHost: h.example\r\n"
-                        "Lavenderfield-Attempt-Id: %s\r\n"
+                        "Lavenderfield-Attempt-Id: %s\r\n%s"
                         "Content-Length: 0\r\n\r\n",
-                        kind->method, kind->path, id);
+                        kind->method, kind->path, id, key_line);
     int64_t sent_us = clock_now_us();
     harness_send(*fd, request, (size_t)size);
     harness_read_response(&answer, *fd);
@@ -113,7 +135,9 @@
         char id[SOAK_ID_SIZE];
         int kind = g_rand_int_range(random, 0, G_N_ELEMENTS(soak_kinds));
         snprintf(id, sizeof(id), "s%d-%d-%d", s->opts.seed, number, i);
-        soak_request(s, node, &fd, &soak_kinds[kind], id);
+        soak_request(s, node, &fd, &soak_kinds[kind], id,
+                     number % SOAK_KEYS_OF == 0 ? SOAK_KEY_NEWEST
+                                                : SOAK_KEY_LASTING);
         harness_sleep_ms(g_rand_int_range(random, 0, 2 * SOAK_PAUSE_MS));
     }
     if (fd >= 0) {
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -1,6 +1,7 @@
 /* What must hold once the faults are over. */
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "lav/clock.h"
 #include "mesh.h"
@@ -8,7 +9,8 @@
 
 #define SOAK_PROBES 10 /* requests in a row that must succeed again */
 
-/* Operators move one route between the services, and drop another. */
+/* Operators move one route between the services, drop another, and give a
+ * workspace another key. */
 void
 soak_publish_desired(soak_run *s)
 {
@@ -22,19 +24,55 @@
         version % 2 == 0 ? ROUTE("/r/", "idempotent", "2s", "far")
                          : ROUTE("/r/", "idempotent", "2s", "near"),
         version % 3 == 0 ? "" : "," ROUTE("/q/", "idempotent", "2s", "far"));
-    harness_publish_desired(version, routes);
+    char workspaces[256];
+    snprintf(workspaces, sizeof(workspaces),
+             "[{\"name\":\"one\",\"api_keys\":[\"lasting\"],\"priority\":0},"
+             "{\"name\":\"two\",\"api_keys\":[\"key-%d\"],\"priority\":1}]",
+             version);
+    harness_publish_workspaces(version, routes,
+                               s->opts.workspaces ? workspaces : NULL);
 }
 
 static int
-soak_probe(int node, const char *path, const char *id)
+soak_probe(const soak_run *s, int node, const char *path, const char *id,
+           enum soak_key key)
 {
+    char request[512];
+    char key_line[SOAK_KEY_LINE_SIZE];
     harness_response answer;
-    harness_call(&answer, node, "GET", path, id, NULL, 0);
+    int fd = harness_connect(node);
+    if (fd < 0) {
+        return 0;
+    }
+    soak_write_key(key_line, s, key);
+    int size = snprintf(request, sizeof(request),
+                        "GET %s HTTP/1.1\r\nHost: h.example\r\n"
+                        "Lavenderfield-Attempt-Id: %s\r\n%s\r\n",
+                        path, id, key_line);
+    harness_send(fd, request, (size_t)size);
+    harness_read_response(&answer, fd);
     int status = answer.status;
     harness_free_response(&answer);
+    close(fd);
     return status;
 }
 
+/* Whether a node refuses the withdrawn key, and takes the newest one. */
+static bool
+soak_knows_keys(const soak_run *s, int node, int try)
+{
+    char id[SOAK_ID_SIZE];
+    char withdrawn[SOAK_ID_SIZE];
+    snprintf(id, sizeof(id), "k%d-%d-%d", s->opts.seed, node, try);
+    snprintf(withdrawn, sizeof(withdrawn), "w%d-%d-%d", s->opts.seed, node,
+             try);
+    return !s->opts.workspaces ||
+           (soak_probe(s, node, "/r/ok", id, SOAK_KEY_NEWEST) == 200 &&
+            soak_probe(s, node, "/r/ok", withdrawn, SOAK_KEY_WITHDRAWN) ==
+                401 &&
+            harness_arrival_count(withdrawn) == 0);
+}
+
 /* Whether a node serves, by the newest desired state, within the time that
  * the platform allows after the last fault. */
 static void
@@ -49,11 +87,13 @@
     for (int i = 0; in_row < SOAK_PROBES && clock_now_us() < end_us; i++) {
         char id[SOAK_ID_SIZE];
         snprintf(id, sizeof(id), "p%d-%d-%d", s->opts.seed, node, i);
-        last = soak_probe(node, "/r/ok", id);
+        last = soak_probe(s, node, "/r/ok", id, SOAK_KEY_LASTING);
         bool near = harness_last_run_node(id) % 3 == 0;
         snprintf(id, sizeof(id), "q%d-%d-%d", s->opts.seed, node, i);
-        bool good = last == 200 && near == (version % 2 == 1) &&
-                    soak_probe(node, "/q/ok", id) == dropped;
+        bool good =
+            last == 200 && near == (version % 2 == 1) &&
+            soak_probe(s, node, "/q/ok", id, SOAK_KEY_LASTING) == dropped &&
+            soak_knows_keys(s, node, i);
         in_row = good ? in_row + 1 : 0;
         if (!good) {
             harness_sleep_ms(100);
@@ -90,7 +130,8 @@
             soak_report_violation(
                 s, "%s ran and got no answer in planned work", r->id);
         }
-        if (r->status == 404 || r->status == 400) {
+        if (r->status == 404 || r->status == 400 ||
+            (r->status == 401 && r->lasting_key)) {
             soak_report_violation(s, "%s got %d", r->id, r->status);
         }
     }
@@ -110,6 +151,22 @@
     }
 }
 
+/* Targets get the workspace's name and no key. */
+static void
+soak_check_identities(soak_run *s)
+{
+    int keys = 0;
+    int repeats = 0;
+    int arrivals = harness_total_arrival_count(&repeats);
+    int named = harness_named_arrival_count(&keys);
+    if (keys > 0 || named != (s->opts.workspaces ? arrivals : 0)) {
+        soak_report_violation(s,
+                              "of %d requests at targets %d had a key, and "
+                              "%d a workspace",
+                              arrivals, keys, named);
+    }
+}
+
 /* Check all promises; the faults are over, the callers have stopped. */
 void
 soak_check(soak_run *s)
@@ -119,6 +176,7 @@
     }
     soak_check_results(s);
     soak_check_repeats(s);
+    soak_check_identities(s);
     if (harness_late_arrival_count() > 0) {
         soak_report_violation(s, "%d requests came to targets that had left",
                               harness_late_arrival_count());
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -161,6 +161,7 @@
                              .callers = soak_callers,
                              .planned = soak_planned || seed % 4 == 0,
                              .clocks = soak_clocks,
+                             .workspaces = seed % 2 == 0,
                              .check_timing = soak_timed};
         red += soak_play(&opts) > 0;
     }
