--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -224,6 +224,8 @@
     runtime_record_overload(f->n, f->r->route, f->response.origin,
                             &f->response.chain_overload);
     f->n->last_peer_contact_us = f->n->l->now_us;
+    config_contact_hear_peer(&f->n->contact, f->response.config_version,
+                             f->n->l->now_us);
     if (f->response.config_version > runtime_config_version(f->n)) {
         peer_sync_fetch_state(f->n, &f->to);
     }
@@ -306,6 +308,7 @@
                        .retry_probability = r->retry_probability,
                        .idempotent = r->idempotent,
                        .weight = r->weight,
+                       .workspace = r->workspace,
                        .rate = instance_get_rate(f->n->fleet, f->member)};
     g_strlcpy(hop.instance, instance, sizeof(hop.instance));
     runtime_list_levels(&hop.levels, f->n, 0);
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -71,6 +71,8 @@
 bool harness_store_spec_contains(const char *kind, const char *name,
                                  const char *text);
 void harness_publish_desired(int version, const char *routes);
+void harness_publish_workspaces(int version, const char *routes,
+                                const char *workspaces);
 void harness_start_node(int node);
 void harness_set_clock_offset(int node, int64_t ahead_ms);
 void harness_signal_node(int node, int signal_number);
@@ -125,6 +127,7 @@
 int harness_late_arrival_count(void);
 int harness_node_arrival_count(int node);
 int harness_total_arrival_count(int *repeats);
+int harness_named_arrival_count(int *keys);
 
 /* Poll a condition for up to 10 s; evaluates to whether it became true. */
 #define HARNESS_WAIT_FOR(condition)                                           \
