--- a/include/lav/routing.h
+++ b/include/lav/routing.h
@@ -59,6 +59,12 @@
 
 typedef struct routing_table routing_table;
 
+/* Receives a route, which is valid as long as its table. */
+typedef void (*routing_route_cb)(const routing_route *route, void *payload);
+
+/* Receives the name of a service, which is valid during the call. */
+typedef void (*routing_service_cb)(const char *service, void *payload);
+
 int routing_new(routing_table **out, uint64_t version,
                 const routing_limits *limits);
 void routing_free(routing_table *table);
@@ -79,6 +85,11 @@
                             size_t host_length, const char *path,
                             size_t path_length);
 const char *routing_next_service(routing_route *route);
+void routing_each_route(const routing_table *table, routing_route_cb each,
+                        void *payload);
+void routing_each_service(const routing_table *table, routing_service_cb each,
+                          void *payload);
+bool routing_leads_to(const routing_table *table, const char *service);
 
 #ifdef __cplusplus
 }
--- a/include/lav/workspace.h
+++ b/include/lav/workspace.h
@@ -28,10 +28,14 @@
     int priority;      /* 0 is the highest; goes before a route's priority */
     double rate_per_s; /* usage cap, requests a second; 0: none */
     double burst;      /* requests allowed beyond the rate; 0: none */
+    size_t key_count;  /* API keys that it holds */
 } workspace;
 
 typedef struct workspace_table workspace_table;
 
+/* Receives a workspace, which is valid as long as its table. */
+typedef void (*workspace_cb)(const workspace *entry, void *payload);
+
 int workspace_table_new(workspace_table **out);
 void workspace_table_free(workspace_table *table);
 int workspace_add(workspace_table *table, const workspace *entry,
@@ -40,6 +44,8 @@
                                     const char *key, size_t length);
 const workspace *workspace_get(const workspace_table *table, uint32_t id);
 size_t workspace_count(const workspace_table *table);
+void workspace_each(const workspace_table *table, workspace_cb each,
+                    void *payload);
 
 #ifdef __cplusplus
 }
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -284,3 +284,41 @@
     best->credit -= total;
     return best->service;
 }
+
+/* Calls `each` for every route: those of a host in the order in which they
+ * match once the table is sorted, the longest prefix first. */
+void
+routing_each_route(const routing_table *table, routing_route_cb each,
+                   void *payload)
+{
+    GList *hosts = g_list_sort(g_hash_table_get_keys(table->hosts),
+                               (GCompareFunc)g_strcmp0);
+    for (const GList *host = hosts; host != NULL; host = host->next) {
+        const GPtrArray *routes =
+            g_hash_table_lookup(table->hosts, host->data);
+        for (guint i = 0; i < routes->len; i++) {
+            each(g_ptr_array_index(routes, i), payload);
+        }
+    }
+    g_list_free(hosts);
+}
+
+/* Calls `each` for every service that the desired state describes. */
+void
+routing_each_service(const routing_table *table, routing_service_cb each,
+                     void *payload)
+{
+    GList *services = g_list_sort(g_hash_table_get_keys(table->health_paths),
+                                  (GCompareFunc)g_strcmp0);
+    for (const GList *at = services; at != NULL; at = at->next) {
+        each(at->data, payload);
+    }
+    g_list_free(services);
+}
+
+/* Whether any route leads to a service. */
+bool
+routing_leads_to(const routing_table *table, const char *service)
+{
+    return g_hash_table_contains(table->objectives, service);
+}
--- a/src/core/workspace.c
+++ b/src/core/workspace.c
@@ -92,6 +92,7 @@
     }
     workspace *copy = g_memdup2(entry, sizeof(*entry));
     copy->id = id;
+    copy->key_count = key_count;
     g_hash_table_insert(table->ids, GUINT_TO_POINTER(id), copy);
     for (size_t i = 0; i < key_count; i++) {
         workspace_key_hash *hash = g_new(workspace_key_hash, 1);
@@ -130,3 +131,22 @@
 {
     return g_hash_table_size(table->ids);
 }
+
+/* Orders workspaces by name. */
+static gint
+workspace_compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp(((const workspace *)a)->name, ((const workspace *)b)->name);
+}
+
+/* Calls `each` for every workspace, in the order of their names. */
+void
+workspace_each(const workspace_table *table, workspace_cb each, void *payload)
+{
+    GList *entries = g_list_sort(g_hash_table_get_values(table->ids),
+                                 workspace_compare_names);
+    for (const GList *at = entries; at != NULL; at = at->next) {
+        each(at->data, payload);
+    }
+    g_list_free(entries);
+}
