shedder: the share of a priority is divided among workspaces

A workspace that sends many times its usual, within its cap, took as much of the admitted share as it sent, and all others paid. Requests without a workspace, and deployments without any, are admitted as before.

--- a/include/lav/fair_share.h
+++ b/include/lav/fair_share.h
@@ -21,11 +21,11 @@
 extern "C" {
 #endif
 
-#define FAIR_SHARE_WORKSPACES_MAX 256 /* told apart; others share an entry */
+#define FAIR_SHARE_WORKSPACES_MAX 128 /* told apart; others share an entry */
 
-/* Share of the level that each workspace gets, however much it sends: none is
- * starved. */
-#define FAIR_SHARE_FLOOR 0.5
+/* Share of the level that each workspace gets, however much it sends: one that
+ * gets less than a quarter of it starves. */
+#define FAIR_SHARE_FLOOR 0.3
 
 /* Weight of a workspace without a usage cap. */
 #define FAIR_SHARE_WEIGHT_DEFAULT 1.0
--- a/include/lav/shedder.h
+++ b/include/lav/shedder.h
@@ -3,7 +3,8 @@
  * them.  Each overloaded service has an admission level, the share of the
  * requests leading to it that it can carry, as its instances report it
  * (service_level).  The admitted share is filled by priority, with a small
- * part reserved for each priority.
+ * part reserved for each priority, and divided among the workspaces of a
+ * priority (fair_share).
  *
  * Without it, a burst that overloads the deepest service makes nearly every
  * request lose one of its calls.  With it the admitted requests complete, the
@@ -16,6 +17,7 @@
 #include <stdint.h>
 
 #include "lav/downstream.h"
+#include "lav/fair_share.h"
 #include "lav/service_level.h"
 
 #ifdef __cplusplus
@@ -50,7 +52,7 @@
                            const downstream_overload *chain_overload,
                            int64_t now_us);
 bool shedder_admit(shedder_state *state, uint32_t route, int priority,
-                   int64_t now_us);
+                   const workspace *from, int64_t now_us);
 service_level_report shedder_get_limit(const shedder_state *state,
                                        uint32_t route, int64_t now_us);
 
--- a/lab/emu.c
+++ b/lab/emu.c
@@ -423,7 +423,7 @@
     bool internal =
         downstream_is_internal(node->downstream, emu_hash(job->kind));
     if (m->opts->load_shedding && !internal &&
-        !shedder_admit(node->shedder, emu_hash(job->kind), k->priority,
+        !shedder_admit(node->shedder, emu_hash(job->kind), k->priority, NULL,
                        m->now_us)) {
         job->retry_after_us =
             k->returns == 0
--- a/src/core/shedder.c
+++ b/src/core/shedder.c
@@ -11,6 +11,7 @@
     double cost_us; /* of the recent requests at the service, decayed */
     double share;   /* of them that are admitted, 0 to 1 */
     double credit;  /* admissions accumulated, at most 2 */
+    fair_share_table *workspaces; /* NULL: none has sent a request */
 } shedder_class;
 
 typedef struct shedder_route {
@@ -52,11 +53,23 @@
     return 0;
 }
 
+/* Frees the shares of workspaces of a service. */
+static void
+shedder_clear_service(shedder_service *entry)
+{
+    for (int i = 0; i < entry->class_count; i++) {
+        fair_share_free(entry->classes[i].workspaces);
+    }
+}
+
 /* Frees the shedder; NULL is allowed. */
 void
 shedder_free(shedder_state *state)
 {
     if (state != NULL) {
+        for (int i = 0; i < state->count; i++) {
+            shedder_clear_service(&state->services[i]);
+        }
         g_hash_table_destroy(state->routes);
         g_rand_free(state->random);
         free(state);
@@ -88,6 +101,7 @@
     for (int i = 0; entry == NULL && i < state->count; i++) {
         if (state->services[i].level >= 1) {
             entry = &state->services[i];
+            shedder_clear_service(entry);
             *entry = (shedder_service){.service = service, .level = 1};
         }
     }
@@ -120,6 +134,9 @@
         remaining -= extra;
         class->share =
             class->cost_us > 0 ? (floor + extra) / class->cost_us : 1;
+        if (class->workspaces != NULL) {
+            fair_share_divide(class->workspaces, class->share);
+        }
     }
 }
 
@@ -138,6 +155,9 @@
     double kept = exp(-(double)passed_us / SHEDDER_MIX_MEMORY_US);
     for (int i = 0; i < entry->class_count; i++) {
         entry->classes[i].cost_us *= kept;
+        if (entry->classes[i].workspaces != NULL) {
+            fair_share_decay(entry->classes[i].workspaces, kept);
+        }
     }
 }
 
@@ -206,10 +226,23 @@
     return &entry->classes[index];
 }
 
-/* Whether to admit an external request. */
+/* Records a request of a workspace in the shares of its priority.  NULL if
+ * memory is exhausted: it is then admitted like those of no workspace. */
+static fair_share_entry *
+shedder_record_workspace(const shedder_state *state, shedder_class *class,
+                         const workspace *from, double cost_us)
+{
+    if (class->workspaces == NULL &&
+        fair_share_new(&class->workspaces, g_rand_int(state->random)) < 0) {
+        return NULL;
+    }
+    return fair_share_record(class->workspaces, from, cost_us);
+}
+
+/* Whether to admit an external request of a workspace; NULL: of none. */
 bool
 shedder_admit(shedder_state *state, uint32_t route, int priority,
-              int64_t now_us)
+              const workspace *from, int64_t now_us)
 {
     const shedder_route *known = shedder_find_route(state, route);
     if (known == NULL) {
@@ -217,11 +250,18 @@
     }
     shedder_service *entry = &state->services[known->service];
     shedder_class *class = shedder_get_class(state, entry, priority);
-    class->cost_us += MAX(known->cost_us, SHEDDER_COST_MIN_US);
+    double cost_us = MAX(known->cost_us, SHEDDER_COST_MIN_US);
+    fair_share_entry *share =
+        from == NULL ? NULL
+                     : shedder_record_workspace(state, class, from, cost_us);
+    class->cost_us += cost_us;
     shedder_update_level(state, entry, now_us);
     if (entry->level >= 1) {
         return true;
     }
+    if (share != NULL) {
+        return fair_share_admit(share);
+    }
     class->credit = MIN(class->credit + class->share, 2.0);
     if (class->credit < 1) {
         return false;
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -277,6 +277,16 @@
     ev_timer_start(n->l->loop, &q->deadline);
 }
 
+/* Returns the workspace of a request in the desired state in force; NULL if it
+ * has none. */
+static const workspace *
+frontend_find_workspace(const frontend_request *q)
+{
+    const workspace_table *workspaces = routing_get_workspaces(q->n->routes);
+    return workspaces == NULL ? NULL
+                              : workspace_get(workspaces, q->r.workspace);
+}
+
 /* Admits a request that was identified and routed, and starts its first
  * attempt, or refuses it. */
 void
@@ -284,7 +294,8 @@
 {
     runtime *n = q->n;
     if (q->r.depth == 0 &&
-        !shedder_admit(n->shedder, q->r.route, q->r.priority, n->l->now_us)) {
+        !shedder_admit(n->shedder, q->r.route, q->r.priority,
+                       frontend_find_workspace(q), n->l->now_us)) {
         q->r.retry_after_us =
             retry_after_shed_us(q->r.objective_us, runtime_random());
         frontend_respond_error(q, HTTP_STATUS_SERVICE_UNAVAILABLE,
