mesh_workspace: a slot becomes free for a request whose key is withdrawn

The test now frees a slot once the version is in force, so that a request that still waits would be sent.

--- a/tests/integration/mesh_workspace_test.c
+++ b/tests/integration/mesh_workspace_test.c
@@ -325,12 +325,14 @@
     harness_send(fd, request, strlen(request));
     harness_sleep_ms(50);
     harness_publish_workspaces(3, WORKSPACE_ROUTES, ONE_KEY);
+    cr_assert(HARNESS_WAIT_FOR(is_in_force(0, 3)));
+    close(fds[0]); /* a slot is free, for whoever still waits */
     harness_read_response(&response, fd);
     cr_expect_eq(response.status, 401, "%d", response.status);
     cr_expect_eq(harness_arrival_count("waits"), 0);
     harness_free_response(&response);
     close(fd);
-    for (int i = 0; i < count; i++) {
+    for (int i = 1; i < count; i++) {
         close(fds[i]);
     }
 }
