order test: a target that stands still is told from a refusal out of order

order/browsing_is_refused_first held refusals against the product that a target causes which the machine doesn't let run for longer than the 300 ms that a call may wait: with the three front targets stopped for 1 s, 61 of 208, 60 of them queue_timeout. An order's refusal counts unless one of these targets began no call for 250 ms (its log of executions) in the 600 ms before, within the load; on a machine that lets them run nothing changes.

--- a/lab/exec_log.c
+++ b/lab/exec_log.c
@@ -258,3 +258,38 @@
     exec_log_read_all(env, exec_log_count_line, &filter);
     return filter.runs;
 }
+
+typedef struct exec_log_pause {
+    int64_t from_ms;
+    int64_t to_ms;
+    int64_t last_ms; /* when the last call began, or the span */
+    int64_t longest_ms;
+} exec_log_pause;
+
+static void
+exec_log_add_pause(int64_t ms, const char *what, const char *request,
+                   const char *operation, void *payload)
+{
+    exec_log_pause *pause = payload;
+    (void)request;
+    (void)operation;
+    if (strcmp(what, "run") != 0 || ms < pause->from_ms || ms > pause->to_ms) {
+        return;
+    }
+    pause->longest_ms = MAX(pause->longest_ms, ms - pause->last_ms);
+    pause->last_ms = MAX(pause->last_ms, ms);
+}
+
+/* Returns the longest time, in ms, in which a target began no call, within a
+ * span of wall clock time. */
+int64_t
+exec_log_longest_pause_ms(const cluster_env *env,
+                          const cluster_instance *instance, int64_t from_ms,
+                          int64_t to_ms)
+{
+    char path[CLUSTER_PATH_SIZE * 2];
+    exec_log_pause pause = {from_ms, to_ms, from_ms, 0};
+    cluster_get_log_path(path, sizeof(path), env, instance);
+    exec_log_read_file(path, exec_log_add_pause, &pause);
+    return MAX(pause.longest_ms, to_ms - pause.last_ms);
+}
--- a/lab/exec_log.h
+++ b/lab/exec_log.h
@@ -23,5 +23,8 @@
 int exec_log_count_operation_runs(const cluster_env *env,
                                   const char *operation);
 int exec_log_count_request_runs(const cluster_env *env, const char *request);
+int64_t exec_log_longest_pause_ms(const cluster_env *env,
+                                  const cluster_instance *instance,
+                                  int64_t from_ms, int64_t to_ms);
 
 #endif
