admitter: messages that are no calls aren't read as calls

A message of another kind at the port for calls was refused with what lies where a call has its nonce and budget: a cancel's or a reply's own nonce, or the bytes of a key, were marked as a refused attempt in the dispatch table and sent back. admitter_submit_call answers them at once, as it does when its ring is full.

--- a/src/node/target/admitter.c
+++ b/src/node/target/admitter.c
@@ -209,28 +209,41 @@
     free(a);
 }
 
+/* Replies "not run" to a message that was not queued.  Takes ownership of the
+ * request.  Only a call has a nonce and a budget to return. */
+static void
+admitter_reply_unqueued(node *n, int slot, msg *request, enum reason reason)
+{
+    msg reply = {.kind = MSG_REPLY};
+    if (request->kind == MSG_CALL) {
+        reply.reply.nonce = request->call.nonce;
+        reply.reply.budget = request->call.budget;
+    }
+    reply.reply.outcome = OUTCOME_NOT_RUN;
+    reply.reply.reason = reason;
+    reply.reply.checksum = correlation_checksum(NULL, 0);
+    counter_add_reason(reason);
+    msg_clear(request);
+    free(request);
+    rpc_server_reply(n->call_server, slot, &reply);
+}
+
 /* Submits a call from a node, in a slot of the call server (an
- * rpc_server_cb).  Takes ownership of the request.  With a full ring it
- * replies "not run" at once, since the call was never queued. */
+ * rpc_server_cb).  Takes ownership of the request.  Other messages, and calls
+ * that a full ring does not take, are answered at once. */
 void
 admitter_submit_call(int slot, msg *request, void *payload)
 {
     node *n = payload;
     admitter_event event = {.kind = ADMITTER_EVENT_CALL, .slot = slot};
-    event.request = request;
-    if (admitter_handle_or_enqueue(n->admitter, &event) == 0) {
+    if (request->kind != MSG_CALL) {
+        admitter_reply_unqueued(n, slot, request, REASON_BAD_REQUEST);
         return;
     }
-    msg reply = {.kind = MSG_REPLY};
-    reply.reply.nonce = request->call.nonce;
-    reply.reply.outcome = OUTCOME_NOT_RUN;
-    reply.reply.reason = REASON_RING_FULL;
-    reply.reply.budget = request->call.budget;
-    reply.reply.checksum = correlation_checksum(NULL, 0);
-    counter_add_reason(REASON_RING_FULL);
-    msg_clear(request);
-    free(request);
-    rpc_server_reply(n->call_server, slot, &reply);
+    event.request = request;
+    if (admitter_handle_or_enqueue(n->admitter, &event) < 0) {
+        admitter_reply_unqueued(n, slot, request, REASON_RING_FULL);
+    }
 }
 
 /* Submits a cancel request from a node; the outcome is passed to the callback
--- a/src/node/target/admitter_call.c
+++ b/src/node/target/admitter_call.c
@@ -231,7 +231,7 @@
     return REASON_BAD_REQUEST;
 }
 
-/* Checks that come before admission: message, operation, state of the target,
+/* Checks that come before admission: ids, operation, state of the target,
  * duplicate attempts.  Returns REASON_NONE or a reason to refuse the call.  A
  * draining target takes only calls that are not idempotent, and those only
  * during the grace period, since no other node may run them. */
@@ -240,8 +240,7 @@
 {
     const msg_call *m = &call->request->call;
     id root;
-    if (call->request->kind != MSG_CALL ||
-        id_parse(&call->request_id, m->request) < 0 ||
+    if (id_parse(&call->request_id, m->request) < 0 ||
         id_parse(&root, m->root) < 0) {
         return REASON_BAD_REQUEST;
     }
@@ -362,9 +361,7 @@
     call->request = request;
     call->operation = -1;
     call->arrived_us = now_us;
-    if (request->kind == MSG_CALL) {
-        call->deadline_us = now_us + request->call.time_left_us;
-    }
+    call->deadline_us = now_us + request->call.time_left_us;
     enum reason reason = admitter_check(a, call, now_us);
     if (reason == REASON_IN_PROGRESS) {
         admitter_reply_unknown(a, slot, reason, now_us);
--- a/tests/integration/config_test.c
+++ b/tests/integration/config_test.c
@@ -391,6 +391,35 @@
     rig_stop(&r);
 }
 
+/* Messages other than calls at the port for calls are refused, and nothing in
+ * them is taken for an attempt's number or its retry budget. */
+Test(config, other_messages_are_no_calls)
+{
+    static rig r;
+    const msg requests[] = {
+        {.kind = MSG_CANCEL, .cancel = {.nonce = 77}},
+        {.kind = MSG_FETCH, .fetch = {.key = "config/head"}},
+        {.kind = MSG_REPLY, .reply = {.nonce = 78, .budget = 9}},
+    };
+    rig_start(&r, "pair", "");
+    const cluster_instance *one = cluster_find_instance(&r.cluster, "pay", 0);
+    for (size_t i = 0; i < sizeof(requests) / sizeof(requests[0]); i++) {
+        msg reply;
+        cr_assert_eq(rpc_sync_request(&reply, "127.0.0.1",
+                                      (uint16_t)one->peer_port, &requests[i],
+                                      2000, NULL),
+                     0, "case %zu", i);
+        cr_expect_eq(reply.kind, MSG_REPLY, "case %zu", i);
+        cr_expect_eq(reply.reply.outcome, OUTCOME_NOT_RUN, "case %zu", i);
+        cr_expect_eq(reply.reply.reason, REASON_BAD_REQUEST, "case %zu", i);
+        cr_expect_eq(reply.reply.nonce, 0, "case %zu: %llu", i,
+                     (unsigned long long)reply.reply.nonce);
+        cr_expect_eq(reply.reply.budget, 0, "case %zu", i);
+        msg_clear(&reply);
+    }
+    rig_stop(&r);
+}
+
 /* The platform responds to watches with older versions for a while: nodes keep
  * the version that they have. */
 Test(config, stale_answers_change_nothing)
