shedder: an entry that is used again keeps no routes of the old service

With more services than entries, shedder_get gave a new service an entry that admitted everything, and the routes that led to it were limited by the new one from then on. They are forgotten with the old service.

level/an_entry_that_is_used_again_has_no_routes fails before (the first route is limited by the 33rd service), passes now.

--- a/src/core/shedder.c
+++ b/src/core/shedder.c
@@ -75,8 +75,18 @@
     return NULL;
 }
 
+/* Predicate of g_hash_table_foreach_remove(): route of the service whose index
+ * `payload` points to. */
+static gboolean
+shedder_is_route_of(gpointer key, gpointer value, gpointer payload)
+{
+    (void)key;
+    return ((const shedder_route *)value)->service == *(const int *)payload;
+}
+
 /* Returns the entry of a service, a new one if needed; it replaces an entry
- * that admits everything when the table is full.  NULL if there is none. */
+ * that admits everything when the table is full, whose routes are forgotten.
+ * NULL if there is none. */
 static shedder_service *
 shedder_get(shedder_state *state, uint32_t service)
 {
@@ -87,6 +97,8 @@
     }
     for (int i = 0; entry == NULL && i < state->count; i++) {
         if (state->services[i].level >= 1) {
+            g_hash_table_foreach_remove(state->routes, shedder_is_route_of,
+                                        &i);
             entry = &state->services[i];
             *entry = (shedder_service){.service = service, .level = 1};
         }
--- a/tests/unit/level_test.c
+++ b/tests/unit/level_test.c
@@ -352,6 +352,34 @@
     shedder_free(shedder);
 }
 
+/* More services than the table holds: the entry of the first one is used again,
+ * and its route isn't limited by the service that has it now. */
+Test(level, an_entry_that_is_used_again_has_no_routes)
+{
+    enum {
+        FIRST_ROUTE = 100
+    };
+    service_level_table levels = {0};
+    shedder_state *shedder = NULL;
+    int64_t now = CLOCK_US_PER_S;
+    cr_assert_eq(shedder_new(&shedder, &levels, 1), 0);
+    for (uint32_t i = 0; i <= SHEDDER_SERVICES_MAX; i++) {
+        downstream_overload overload = {SERVICE + i, 2, 40 * MS};
+        shedder_record_report(shedder, FIRST_ROUTE + i, &overload, now);
+    }
+    service_level_report low = {SERVICE + SHEDDER_SERVICES_MAX, 0.5, 0, false};
+    service_level_merge(&levels, &low, now);
+    service_level_report of_last =
+        shedder_get_limit(shedder, FIRST_ROUTE + SHEDDER_SERVICES_MAX, now);
+    cr_expect_eq(of_last.service, SERVICE + SHEDDER_SERVICES_MAX);
+    cr_expect_float_eq(of_last.level, 0.5, NEAR);
+    service_level_report of_first =
+        shedder_get_limit(shedder, FIRST_ROUTE, now);
+    cr_expect_eq(of_first.service, 0);
+    cr_expect_eq(of_first.level, 1);
+    shedder_free(shedder);
+}
+
 typedef struct hop_case {
     const char *levels; /* at the end of the field's value */
     int result;
