--- a/include/lav/svc.h
+++ b/include/lav/svc.h
@@ -37,7 +37,7 @@
 };
 
 enum svc_queue {
-    SVC_QUEUE_CLASS, /* by class, then rank, then depth */
+    SVC_QUEUE_CLASS, /* by class, then deeper calls first, then rank */
     SVC_QUEUE_FIFO,  /* first come, first served (for comparison) */
     SVC_QUEUE_LIFO   /* by class, newest first */
 };
--- a/tests/unit/emf_test.c
+++ b/tests/unit/emu_file_test.c
@@ -9,15 +9,15 @@
 #define COUNT(list) (sizeof(list) / sizeof((list)[0]))
 
 /* Folder of the example emulations, set by the build. */
-#ifndef EMF_EXAMPLES
-#define EMF_EXAMPLES "examples/emulations"
+#ifndef EMU_FILE_EXAMPLES
+#define EMU_FILE_EXAMPLES "examples/emulations"
 #endif
 
 Test(emu_file, an_example_is_loaded_and_run)
 {
     static emu_file f;
     err e = ERR_INIT;
-    cr_assert_eq(emu_file_load(&f, EMF_EXAMPLES "/burst.toml", &e), 0, "%s",
+    cr_assert_eq(emu_file_load(&f, EMU_FILE_EXAMPLES "/burst.toml", &e), 0, "%s",
                  e.message);
     cr_expect_str_eq(f.name, "burst");
     cr_expect_eq(f.opts.service_count, 4);
@@ -62,7 +62,7 @@
 write_changed(const char *path, const error_case *c)
 {
     static char text[8192];
-    FILE *in = fopen(EMF_EXAMPLES "/burst.toml", "r");
+    FILE *in = fopen(EMU_FILE_EXAMPLES "/burst.toml", "r");
     cr_assert_not_null(in);
     text[fread(text, 1, sizeof(text) - 1, in)] = '\0';
     fclose(in);
@@ -77,7 +77,7 @@
 
 Test(emu_file, errors_are_reported)
 {
-    char path[] = "/tmp/lav-emf-XXXXXX";
+    char path[] = "/tmp/lav-emu-file-XXXXXX";
     int fd = mkstemp(path);
     cr_assert_neq(fd, -1);
     close(fd);
