--- a/include/lav/clock.h
+++ b/include/lav/clock.h
@@ -19,6 +19,7 @@
 
 int64_t clock_now_us(void);
 int64_t clock_wall_ms(void);
+int64_t clock_suspended_us(void);
 void clock_pause(int64_t now_us, int64_t wall_ms);
 void clock_advance_us(int64_t delta_us);
 void clock_resume(void);
--- a/include/lav/reason.h
+++ b/include/lav/reason.h
@@ -70,7 +70,9 @@
     X(RETRY_AFTER_UNKNOWN, "retry_after_unknown")                             \
     X(RETRY_REROUTED, "retry_rerouted")                                       \
     X(RETRY_HIDDEN_RESEND, "retry_hidden_resend")                             \
-    X(RATE_LIMITED, "rate_limited")
+    X(RATE_LIMITED, "rate_limited")                                           \
+    X(OVER_CAP, "over_cap")                                                   \
+    X(CAP_UNCHECKED, "cap_unchecked")
 
 #define REASON_ENUM(identifier, text) REASON_##identifier,
 enum reason {
--- a/include/lav/workspace.h
+++ b/include/lav/workspace.h
@@ -8,6 +8,7 @@
 #ifndef LAV_WORKSPACE_H
 #define LAV_WORKSPACE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -40,6 +41,7 @@
                                     const char *key, size_t length);
 const workspace *workspace_get(const workspace_table *table, uint32_t id);
 size_t workspace_count(const workspace_table *table);
+bool workspace_any_capped(const workspace_table *table);
 
 #ifdef __cplusplus
 }
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -73,3 +73,15 @@
                           (duration_us % CLOCK_US_PER_S) * 1000};
     nanosleep(&ts, NULL);
 }
+
+/* Return for how long, in microseconds, the host has stood since it was
+ * booted: the monotonic time does not count that. */
+int64_t
+clock_suspended_us(void)
+{
+    if (atomic_load(&clock_paused)) {
+        return 0;
+    }
+    return clock_read_posix_us(CLOCK_BOOTTIME) -
+           clock_read_posix_us(CLOCK_MONOTONIC);
+}
--- a/src/core/workspace.c
+++ b/src/core/workspace.c
@@ -130,3 +130,21 @@
 {
     return g_hash_table_size(table->ids);
 }
+
+/* Whether any workspace has a usage cap; false for NULL. */
+bool
+workspace_any_capped(const workspace_table *table)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    if (table == NULL) {
+        return false;
+    }
+    g_hash_table_iter_init(&iter, table->ids);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (((const workspace *)value)->rate_per_s > 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/flow/metrics.c
+++ b/src/flow/metrics.c
@@ -10,6 +10,7 @@
 #include "lav/log.h"
 #include "local_target.h"
 #include "runtime.h"
+#include "usage_gate.h"
 
 /* Writes one gauge with its help text. */
 static void
@@ -165,6 +166,9 @@
                         "reader was too slow.",
                         (double)log_count_dropped());
     metrics_write_histogram(body);
+    if (n->usage != NULL) {
+        usage_gate_write_metrics(body, n->usage);
+    }
     metrics_write_gauge(body, "lav_desired_version",
                         "Version of the desired state in force.",
                         (double)runtime_config_version(n));
--- a/src/flow/peer_server.c
+++ b/src/flow/peer_server.c
@@ -15,6 +15,8 @@
 #include "prober.h"
 #include "record_json.h"
 #include "peer_sync.h"
+#include "usage_gate.h"
+#include "usage_message.h"
 
 /* Twice the size that callers may send. */
 #define PEER_SERVER_HEAD_BYTES_MAX 131072
@@ -168,6 +170,11 @@
         text = json_dumps(record, JSON_COMPACT);
         json_decref(record);
     }
+    else if (usage_message_is_ask(http_head_get_target(head))) {
+        text =
+            usage_gate_handle_query(s->n->usage, http_head_get_target(head));
+        status = text == NULL ? HTTP_STATUS_BAD_REQUEST : HTTP_STATUS_OK;
+    }
     else if (g_str_has_prefix(path, FORWARD_CANCEL_PATH)) {
         uint64_t nonce = peer_server_parse_nonce(path, FORWARD_CANCEL_PATH);
         text = malloc(PEER_SERVER_PATH_SIZE);
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -8,6 +8,7 @@
 #include "lav/clock.h"
 #include "lav/id.h"
 #include "lav/log.h"
+#include "usage_gate.h"
 
 /* A target that leaves gets new requests for the drain time divided by
  * this. */
@@ -140,6 +141,9 @@
     g_free(n->config_text);
     n->config_text = g_strndup(text, length);
     n->config_length = length;
+    if (n->usage != NULL) {
+        usage_gate_configure(n->usage);
+    }
     return 0;
 }
 
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -23,6 +23,7 @@
 
 struct local_target;
 struct prober;
+struct usage_gate;
 
 /* Names of the header fields that callers and targets use. */
 typedef struct runtime_header_names {
@@ -79,6 +80,7 @@
     GHashTable *peer_requests;  /* nonce -> peer_server_request */
     struct local_target *local; /* the target of this node */
     struct prober *prober;      /* probes unreachable nodes */
+    struct usage_gate *usage;   /* usage caps of workspaces */
     bool state_fetch_pending;   /* a peer's state is being fetched */
     int64_t last_peer_contact_us; /* when a peer last reported its version */
     int requests;                 /* of callers and peers, in progress */
--- /dev/null
+++ b/src/flow/usage_gate.c
@@ -0,0 +1,588 @@
+#include "usage_gate.h"
+
+#include <http_parser.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http_async.h"
+#include "lav/clock.h"
+#include "lav/counter.h"
+#include "lav/err.h"
+#include "lav/id.h"
+#include "lav/log.h"
+#include "lav/usage_owner.h"
+#include "peer_sync.h"
+#include "record_json.h"
+#include "usage_message.h"
+
+/* Period of the timer, and the number of periods between two readings of the
+ * members. */
+#define USAGE_GATE_PERIOD_S 0.05
+#define USAGE_GATE_MEMBERS_PERIODS 5
+
+/* Time for the answer to a message. */
+#define USAGE_GATE_TIMEOUT_US 250000
+
+/* Longest time for which a request waits. */
+#define USAGE_GATE_WAIT_MAX_US 500000
+
+/* Requests that wait for one slot, at most. */
+#define USAGE_GATE_WAITING_MAX 1024
+
+/* A gap in the clock's count of this length means that the host stood. */
+#define USAGE_GATE_SUSPENDED_US 20000
+
+/* Bits of the sequence numbers below the start of the node in ms. */
+#define USAGE_GATE_SEQUENCE_SHIFT 20
+
+/* Largest number of lines a second about refused requests. */
+#define USAGE_GATE_LINES_PER_S 4
+
+struct usage_gate {
+    runtime *n;
+    ev_timer timer; /* runs while a workspace has a cap */
+    int periods;
+    usage_share *share;
+    usage_owner *owner;
+    GHashTable *addresses; /* member id -> node name, char * */
+    GQueue waiting[USAGE_CAP_SLOTS];
+    uint64_t owners[USAGE_CAP_SLOTS];   /* as logged last */
+    uint64_t versions[USAGE_CAP_SLOTS]; /* of the owners' desired states */
+    int64_t answered_us[USAGE_CAP_SLOTS];
+    int64_t suspended_us;
+    uint64_t sent;
+    uint64_t failed;
+    uint64_t granted;
+    uint64_t waited;
+};
+
+/* A message under way. */
+typedef struct usage_gate_call {
+    usage_gate *gate;
+    usage_message message;
+} usage_gate_call;
+
+static void usage_gate_send(usage_gate *gate, int slot);
+
+/* Looks up a workspace in the desired state in force. */
+static const workspace *
+usage_gate_find(uint32_t id, void *payload)
+{
+    const usage_gate *gate = payload;
+    const routing_table *routes = gate->n->routes;
+    const workspace_table *table =
+        routes == NULL ? NULL : routing_get_workspaces(routes);
+    return table == NULL ? NULL : workspace_get(table, id);
+}
+
+/* Returns the epoch of a new owner's state: random, positive in JSON. */
+static uint64_t
+usage_gate_epoch(void)
+{
+    return runtime_random() >> 2U | 1U;
+}
+
+/* Returns the node that owns a slot, for the log. */
+static const char *
+usage_gate_node_name(const usage_gate *gate, uint64_t member)
+{
+    uint64_t key = member;
+    const char *name = g_hash_table_lookup(gate->addresses, &key);
+    return name == NULL ? "" : name;
+}
+
+/* Logs that a slot's share is lent to another node. */
+static void
+usage_gate_note_owner(usage_gate *gate, int slot)
+{
+    uint64_t owner = usage_share_owner(gate->share, slot);
+    if (owner == gate->owners[slot]) {
+        return;
+    }
+    log_event(LOG_INFO, "usage_owner", NULL, "{s:i,s:s,s:s,s:i,s:I}", "slot",
+              slot, "node", usage_gate_node_name(gate, owner), "was",
+              usage_gate_node_name(gate, gate->owners[slot]), "members",
+              usage_share_members(gate->share), "desired",
+              (json_int_t)runtime_config_version(gate->n));
+    gate->owners[slot] = owner;
+}
+
+/* Logs a sample of the refused requests, with the source of the decision. */
+static void
+usage_gate_log_refusal(const usage_gate *gate, uint32_t workspace,
+                       const usage_gate_result *result)
+{
+    int slot = usage_cap_slot(workspace);
+    const struct workspace *entry = usage_gate_find(workspace, (void *)gate);
+    if (!log_allow_line("usage_refused", USAGE_GATE_LINES_PER_S)) {
+        return;
+    }
+    log_event(LOG_INFO, "usage_refused", NULL,
+              "{s:s,s:s,s:I,s:i,s:s,s:I,s:I,s:I}", "workspace",
+              entry == NULL ? "" : entry->name, "reason",
+              reason_name(result->reason), "retry_after_us",
+              (json_int_t)result->retry_after_us, "slot", slot, "from",
+              usage_gate_node_name(gate, gate->owners[slot]), "version",
+              (json_int_t)gate->versions[slot], "age_us",
+              (json_int_t)(gate->n->l->now_us - gate->answered_us[slot]),
+              "desired", (json_int_t)runtime_config_version(gate->n));
+}
+
+/* Completes a decision with what a refusal says. */
+static void
+usage_gate_complete(usage_gate *gate, uint32_t workspace,
+                    usage_gate_result *result)
+{
+    switch (result->decision) {
+    case USAGE_GRANTED:
+        gate->granted++;
+        return;
+    case USAGE_WAIT:
+        return;
+    case USAGE_OVER_CAP:
+        result->status = HTTP_STATUS_TOO_MANY_REQUESTS;
+        result->reason = REASON_OVER_CAP;
+        break;
+    case USAGE_UNCHECKED:
+        result->status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+        result->reason = REASON_CAP_UNCHECKED;
+        break;
+    }
+    usage_gate_log_refusal(gate, workspace, result);
+}
+
+/* Takes a request out of its queue. */
+static void
+usage_gate_unlink(usage_gate_request *request)
+{
+    g_queue_unlink(request->queue, &request->link);
+    request->queue = NULL;
+    request->waiting = false;
+}
+
+/* Decides on the requests that wait for a slot; those that have waited for too
+ * long are refused.  Their owners are called last: they may come back here. */
+static void
+usage_gate_settle(usage_gate *gate, int slot)
+{
+    int64_t now_us = gate->n->l->now_us;
+    GQueue decided = G_QUEUE_INIT;
+    GList *next = NULL;
+    for (GList *link = gate->waiting[slot].head; link != NULL; link = next) {
+        usage_gate_request *request = link->data;
+        usage_gate_result *result = &request->result;
+        next = link->next;
+        *result = (usage_gate_result){.retry_after_us = CLOCK_US_PER_S};
+        result->decision =
+            usage_share_settle(&request->token, &result->retry_after_us,
+                               gate->share, request->workspace, now_us);
+        if (result->decision == USAGE_WAIT &&
+            now_us - request->since_us >= USAGE_GATE_WAIT_MAX_US) {
+            usage_share_cancel(gate->share, request->workspace);
+            result->decision = USAGE_UNCHECKED;
+        }
+        if (result->decision != USAGE_WAIT) {
+            request->taken = result->decision == USAGE_GRANTED;
+            g_queue_unlink(&gate->waiting[slot], link);
+            g_queue_push_tail_link(&decided, link);
+            request->queue = &decided;
+        }
+    }
+    while (!g_queue_is_empty(&decided)) {
+        usage_gate_request *request = g_queue_peek_head(&decided);
+        usage_gate_result result = request->result;
+        usage_gate_unlink(request);
+        usage_gate_complete(gate, request->workspace, &result);
+        if (request->immediate != NULL) {
+            *request->immediate = result;
+        }
+        else {
+            request->done(&result, request->payload);
+        }
+    }
+}
+
+/* Fetches the state of a node whose desired state is newer. */
+static void
+usage_gate_compare_version(usage_gate *gate, uint64_t member, uint64_t version)
+{
+    runtime *n = gate->n;
+    if (version <= runtime_config_version(n)) {
+        return;
+    }
+    const instance_record *record = instance_get(
+        n->fleet, instance_find(n->fleet, usage_gate_node_name(gate, member)));
+    if (record != NULL) {
+        struct sockaddr_in from = record_json_address(record);
+        peer_sync_fetch_state(n, &from);
+    }
+}
+
+/* Handles an answer, and goes on with the slot. */
+static void
+usage_gate_answered(usage_gate *gate, const usage_message *message,
+                    const usage_answer *answer)
+{
+    int slot = message->ask.slot;
+    int64_t now_us = gate->n->l->now_us;
+    usage_share_answered(gate->share, message, answer, now_us);
+    if (message->kind == USAGE_MESSAGE_ASK) {
+        gate->versions[slot] = answer->version;
+        gate->answered_us[slot] = now_us;
+    }
+    usage_gate_note_owner(gate, slot);
+    usage_gate_settle(gate, slot);
+    usage_gate_send(gate, slot);
+}
+
+/* Handles the response to a message. */
+static void
+usage_gate_on_response(const http_async_response *response, void *payload)
+{
+    usage_gate_call *call = payload;
+    usage_gate *gate = call->gate;
+    usage_answer answer;
+    bool read = response->result == HTTP_ASYNC_COMPLETE &&
+                response->status == HTTP_STATUS_OK &&
+                usage_message_read_answer(&answer, response->body,
+                                          response->length) == 0;
+    if (read) {
+        usage_gate_compare_version(gate, call->message.to, answer.version);
+        usage_gate_answered(gate, &call->message, &answer);
+    }
+    else {
+        int slot = call->message.ask.slot;
+        gate->failed++;
+        if (log_allow_line("usage_unanswered", USAGE_GATE_LINES_PER_S)) {
+            log_event(LOG_WARN, "usage_unanswered", NULL, "{s:i,s:s,s:i,s:b}",
+                      "slot", slot, "node",
+                      usage_gate_node_name(gate, call->message.to), "status",
+                      response->status, "sent",
+                      response->result != HTTP_ASYNC_NOT_SENT);
+        }
+        usage_share_failed(gate->share, &call->message,
+                           response->result != HTTP_ASYNC_NOT_SENT,
+                           gate->n->l->now_us);
+        usage_gate_settle(gate, slot);
+        usage_gate_send(gate, slot);
+    }
+    free(call);
+}
+
+/* Sends a message to another node; false if it can't be sent. */
+static bool
+usage_gate_send_message(usage_gate_call *call)
+{
+    usage_gate *gate = call->gate;
+    runtime *n = gate->n;
+    const instance_record *record = instance_get(
+        n->fleet,
+        instance_find(n->fleet, usage_gate_node_name(gate, call->message.to)));
+    if (record == NULL) {
+        return false;
+    }
+    bytebuf path = {0};
+    struct sockaddr_in to = record_json_address(record);
+    usage_message_write_ask(&path, &call->message.ask);
+    bytebuf_append(&path, "", 1);
+    http_async_options opts = {.method = "GET",
+                               .path = bytebuf_data(&path),
+                               .timeout_us = USAGE_GATE_TIMEOUT_US};
+    int result = http_async_start(NULL, n->pool, n->l, &to, &opts,
+                                  usage_gate_on_response, call);
+    bytebuf_clear(&path);
+    gate->sent++;
+    return result == 0;
+}
+
+/* Sends the messages that are due for a slot.  Those to this node itself are
+ * handled at once. */
+static void
+usage_gate_send(usage_gate *gate, int slot)
+{
+    int64_t now_us = gate->n->l->now_us;
+    uint64_t self = id_hash(gate->n->self.node);
+    for (;;) {
+        usage_gate_call *call = calloc(1, sizeof(*call));
+        if (call == NULL ||
+            !usage_share_poll(&call->message, gate->share, slot, now_us)) {
+            free(call);
+            return;
+        }
+        call->gate = gate;
+        call->message.ask.version = runtime_config_version(gate->n);
+        if (call->message.to == self) {
+            usage_answer answer;
+            usage_owner_handle(&answer, gate->owner, &call->message.ask,
+                               usage_share_members(gate->share), now_us);
+            answer.version = call->message.ask.version;
+            usage_gate_answered(gate, &call->message, &answer);
+            free(call);
+            return;
+        }
+        if (!usage_gate_send_message(call)) {
+            usage_share_failed(gate->share, &call->message, false, now_us);
+            free(call);
+            return; /* the timer goes on */
+        }
+    }
+}
+
+/* Whether the members that this node knows are those of a list. */
+static bool
+usage_gate_knows_members(const usage_gate *gate)
+{
+    return gate->n->routes != NULL;
+}
+
+/* Hands the members to the node's side. */
+static void
+usage_gate_read_members(usage_gate *gate)
+{
+    runtime *n = gate->n;
+    uint64_t self = id_hash(n->self.node);
+    GArray *members = g_array_new(FALSE, FALSE, sizeof(usage_member));
+    bool self_known = false;
+    g_hash_table_remove_all(gate->addresses);
+    for (int i = 0;
+         usage_gate_knows_members(gate) && i < instance_count(n->fleet); i++) {
+        const instance_record *record = instance_get(n->fleet, i);
+        if (record == NULL) {
+            continue;
+        }
+        usage_member member = {
+            id_hash(record->node),
+            instance_unreachable_for_us(n->fleet, i, n->l->now_us) < 0};
+        self_known = self_known || member.id == self;
+        g_array_append_val(members, member);
+        g_hash_table_insert(gate->addresses,
+                            g_memdup2(&member.id, sizeof(member.id)),
+                            g_strdup(record->node));
+    }
+    if (!self_known && usage_gate_knows_members(gate)) {
+        usage_member member = {self, true};
+        g_array_append_val(members, member);
+    }
+    usage_share_set_members(gate->share, (const usage_member *)members->data,
+                            members->len, n->l->now_us);
+    g_array_free(members, TRUE);
+}
+
+/* Drops everything that depends on the clock if it stood while the host was
+ * suspended. */
+static void
+usage_gate_check_clock(usage_gate *gate)
+{
+    int64_t suspended_us = clock_suspended_us();
+    if (suspended_us - gate->suspended_us > USAGE_GATE_SUSPENDED_US) {
+        log_event(LOG_WARN, "usage_clock_stood", NULL, "{s:I}", "us",
+                  (json_int_t)(suspended_us - gate->suspended_us));
+        usage_share_reset(gate->share, gate->n->l->now_us);
+        usage_owner_reset(gate->owner, usage_gate_epoch());
+    }
+    gate->suspended_us = suspended_us;
+}
+
+/* Timer: renews what is lent and ends what waits for too long. */
+static void
+usage_gate_on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    usage_gate *gate = watcher->data;
+    evloop_update_now(gate->n->l);
+    usage_gate_check_clock(gate);
+    if (gate->n->stopping) {
+        usage_owner_leave(gate->owner);
+    }
+    if (gate->n->closed) {
+        usage_share_stop(gate->share);
+    }
+    if (gate->periods++ % USAGE_GATE_MEMBERS_PERIODS == 0) {
+        usage_gate_read_members(gate);
+    }
+    for (int i = 0; i < USAGE_CAP_SLOTS; i++) {
+        usage_gate_settle(gate, i);
+        usage_gate_send(gate, i);
+    }
+}
+
+/* Creates the gate.  ERR_NO_MEMORY if memory is exhausted. */
+int
+usage_gate_new(usage_gate **out, runtime *n)
+{
+    usage_gate *gate = calloc(1, sizeof(*gate));
+    if (gate == NULL) {
+        return ERR_NO_MEMORY;
+    }
+    gate->n = n;
+    gate->suspended_us = clock_suspended_us();
+    gate->addresses =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    ev_timer_init(&gate->timer, usage_gate_on_timer, 0., USAGE_GATE_PERIOD_S);
+    gate->timer.data = gate;
+    for (int i = 0; i < USAGE_CAP_SLOTS; i++) {
+        g_queue_init(&gate->waiting[i]);
+    }
+    if (usage_share_new(&gate->share, id_hash(n->self.node),
+                        n->self.incarnation << USAGE_GATE_SEQUENCE_SHIFT,
+                        n->started_us) < 0 ||
+        usage_owner_new(&gate->owner, usage_gate_epoch(), usage_gate_find,
+                        gate) < 0) {
+        usage_gate_free(gate);
+        return ERR_NO_MEMORY;
+    }
+    *out = gate;
+    return 0;
+}
+
+/* Frees the gate; NULL is allowed.  Nothing may wait at it. */
+void
+usage_gate_free(usage_gate *gate)
+{
+    if (gate == NULL) {
+        return;
+    }
+    ev_timer_stop(gate->n->l->loop, &gate->timer);
+    usage_share_free(gate->share);
+    usage_owner_free(gate->owner);
+    g_hash_table_destroy(gate->addresses);
+    free(gate);
+}
+
+/* A desired state came into force: the caps are kept from now on, or no
+ * longer. */
+void
+usage_gate_configure(usage_gate *gate)
+{
+    runtime *n = gate->n;
+    if (workspace_any_capped(routing_get_workspaces(n->routes))) {
+        if (!ev_is_active(&gate->timer)) {
+            ev_timer_start(n->l->loop, &gate->timer);
+        }
+    }
+}
+
+/* Takes one request of a workspace's cap.  USAGE_WAIT: `done` is called with
+ * the decision, once and not from here, unless it is cancelled before. */
+usage_gate_result
+usage_gate_take(usage_gate *gate, usage_gate_request *request,
+                uint32_t workspace, usage_gate_done_cb done, void *payload)
+{
+    usage_gate_result result = {.decision = USAGE_GRANTED};
+    const struct workspace *entry = usage_gate_find(workspace, gate);
+    int slot = usage_cap_slot(workspace);
+    int64_t now_us = gate->n->l->now_us;
+    if (entry == NULL || entry->rate_per_s <= 0) {
+        return result;
+    }
+    usage_gate_check_clock(gate);
+    result.decision = usage_share_take(&request->token, &result.retry_after_us,
+                                       gate->share, workspace, now_us);
+    if (result.decision == USAGE_WAIT &&
+        g_queue_get_length(&gate->waiting[slot]) >= USAGE_GATE_WAITING_MAX) {
+        usage_share_cancel(gate->share, workspace);
+        result.decision = USAGE_UNCHECKED;
+    }
+    request->gate = gate;
+    request->workspace = workspace;
+    request->taken = result.decision == USAGE_GRANTED;
+    if (result.decision != USAGE_WAIT) {
+        usage_gate_complete(gate, workspace, &result);
+        return result;
+    }
+    gate->waited++;
+    request->waiting = true;
+    request->since_us = now_us;
+    request->done = done;
+    request->payload = payload;
+    request->immediate = &result;
+    request->link.data = request;
+    request->queue = &gate->waiting[slot];
+    g_queue_push_tail_link(request->queue, &request->link);
+    usage_gate_send(gate, slot);
+    request->immediate = NULL;
+    return result;
+}
+
+/* Gives up a request that waits; no effect on others. */
+void
+usage_gate_cancel(usage_gate_request *request)
+{
+    if (!request->waiting) {
+        return;
+    }
+    if (request->queue ==
+        &request->gate->waiting[usage_cap_slot(request->workspace)]) {
+        usage_share_cancel(request->gate->share, request->workspace);
+    }
+    usage_gate_unlink(request);
+    usage_gate_return(request);
+}
+
+/* Gives back a request that was granted and has not run and never will; no
+ * effect if none was taken. */
+void
+usage_gate_return(usage_gate_request *request)
+{
+    if (request->taken) {
+        request->taken = false;
+        usage_share_return(request->gate->share, &request->token,
+                           request->gate->n->l->now_us);
+    }
+}
+
+/* Handles the message in the path of a query.  Returns the answer as JSON
+ * text, which the caller frees; NULL if the message is not valid. */
+char *
+usage_gate_handle_query(usage_gate *gate, http_str path)
+{
+    usage_ask ask;
+    usage_answer answer;
+    if (usage_message_read_ask(&ask, path) < 0) {
+        counter_add_reason(REASON_BAD_MESSAGE);
+        return NULL;
+    }
+    usage_gate_check_clock(gate);
+    usage_gate_compare_version(gate, ask.lender, ask.version);
+    usage_owner_handle(&answer, gate->owner, &ask,
+                       usage_share_members(gate->share), gate->n->l->now_us);
+    answer.version = runtime_config_version(gate->n);
+    return usage_message_write_answer(&answer);
+}
+
+/* Writes gauges and counters of the usage caps. */
+void
+usage_gate_write_metrics(bytebuf *out, const usage_gate *gate)
+{
+    int lent = 0;
+    for (int i = 0; i < USAGE_CAP_SLOTS; i++) {
+        lent += usage_share_owner(gate->share, i) != 0 ? 1 : 0;
+    }
+    const struct {
+        const char *name;
+        const char *help;
+        const char *type;
+        double value;
+    } values[] = {
+        {"lav_usage_members", "Nodes that usage caps are divided among.",
+         "gauge", usage_share_members(gate->share)},
+        {"lav_usage_slots_lent", "Slots whose share is lent to an owner.",
+         "gauge", lent},
+        {"lav_usage_shares_held", "Shares that are lent to this node.",
+         "gauge", usage_owner_lenders(gate->owner)},
+        {"lav_usage_granted_total", "Requests taken from a usage cap.",
+         "counter", (double)gate->granted},
+        {"lav_usage_waited_total", "Requests that waited for an owner.",
+         "counter", (double)gate->waited},
+        {"lav_usage_messages_total", "Messages sent to owners.", "counter",
+         (double)gate->sent},
+        {"lav_usage_unanswered_total", "Messages without an answer.",
+         "counter", (double)gate->failed}};
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        bytebuf_appendf(out, "# HELP %s %s\n# TYPE %s %s\n%s %g\n",
+                        values[i].name, values[i].help, values[i].name,
+                        values[i].type, values[i].name, values[i].value);
+    }
+}
