--- /dev/null
+++ b/tests/unit/usage_test.c
@@ -0,0 +1,232 @@
+/* Messages about usage caps, and the two sides of a cap. */
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lav/clock.h"
+#include "lav/usage_owner.h"
+#include "lav/usage_share.h"
+#include "usage_message.h"
+
+#define SELF 7U
+
+static workspace usage_caps[] = {
+    {.name = "small", .id = 1, .rate_per_s = 2, .burst = 2},
+    {.name = "free", .id = 2}};
+
+/* Looks up a workspace of the tests. */
+static const workspace *
+usage_find(uint32_t id, void *payload)
+{
+    (void)payload;
+    for (size_t i = 0; i < sizeof(usage_caps) / sizeof(usage_caps[0]); i++) {
+        if (usage_caps[i].id == id) {
+            return &usage_caps[i];
+        }
+    }
+    return NULL;
+}
+
+/* Sends all messages that are due for a slot to the owner, at once. */
+static void
+usage_exchange(usage_share *share, usage_owner *owner, int slot,
+               int64_t now_us)
+{
+    usage_message message;
+    usage_answer answer;
+    while (usage_share_poll(&message, share, slot, now_us)) {
+        usage_owner_handle(&answer, owner, &message.ask, 1, now_us);
+        usage_share_answered(share, &message, &answer, now_us);
+    }
+}
+
+Test(usage, messages_are_read_as_they_were_written)
+{
+    usage_ask ask = {.slot = 3,
+                     .lender = UINT64_MAX,
+                     .sequence = 5,
+                     .epoch = 9,
+                     .until_us = 123456789,
+                     .members = 71,
+                     .version = 4,
+                     .count = 2,
+                     .wants = {{1, 2, 0, 0}, {UINT32_MAX, 1, 3, 77}}};
+    usage_ask read;
+    bytebuf path = {0};
+    usage_message_write_ask(&path, &ask);
+    http_str text = {bytebuf_data(&path), bytebuf_length(&path)};
+    cr_assert_eq(usage_message_read_ask(&read, text), 0);
+    cr_expect_eq(read.slot, 3);
+    cr_expect_eq(read.lender, UINT64_MAX);
+    cr_expect_eq(read.until_us, 123456789);
+    cr_expect_eq(read.count, 2);
+    cr_expect_eq(read.wants[1].workspace, UINT32_MAX);
+    cr_expect_eq(read.wants[1].granted_us, 77);
+    bytebuf_clear(&path);
+
+    usage_answer answer = {.epoch = 9,
+                           .stamp_us = 55,
+                           .version = 4,
+                           .leaving = true,
+                           .count = 2,
+                           .grants = {{1, 2, 0}, {4, -1, 0}}};
+    usage_answer got;
+    char *json = usage_message_write_answer(&answer);
+    cr_assert_eq(usage_message_read_answer(&got, json, strlen(json)), 0);
+    cr_expect_eq(got.epoch, 9U);
+    cr_expect(got.leaving);
+    cr_expect_eq(got.grants[1].count, -1);
+    free(json);
+}
+
+Test(usage, messages_of_other_forms_are_not_read)
+{
+    static const char *const paths[] = {
+        "",
+        "/lav/usage/",
+        "/lav/usage/1/2/3/4/5/6",
+        "/lav/usage/8/2/3/4/5/6/7",
+        "/lav/usage/1/2/3/4/5/0/7",
+        "/lav/usage/1/2/3/4/5/2049/7",
+        "/lav/usage/-1/2/3/4/5/6/7",
+        "/lav/usage/1/2/3/4/5/6/7/1",
+        "/lav/usage/1/2/3/4/5/6/7/1/2/3/x",
+        "/lav/usage/1/2/3/4/5/6/7/1/100001/0/0",
+        "/lav/usage/1/2/3/4/99999999999999999999/6/7"};
+    static const char *const answers[] = {
+        "",
+        "[]",
+        "{}",
+        "{\"epoch\":0,\"stamp_us\":1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[]}",
+        "{\"epoch\":1,\"stamp_us\":-1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[]}",
+        "{\"epoch\":1,\"stamp_us\":1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[[1,2]]}",
+        "{\"epoch\":1,\"stamp_us\":1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[[0,2,3]]}",
+        "{\"epoch\":1,\"stamp_us\":1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[[1,100001,3]]}",
+        "{\"epoch\":1,\"stamp_us\":1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[[1,-2,3]]}",
+        "{\"epoch\":1,\"stamp_us\":1,\"version\":1,\"leaving\":false,"
+        "\"grants\":[[1,1,9000000]]}"};
+    usage_ask ask;
+    usage_answer answer;
+    for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+        http_str path = {paths[i], strlen(paths[i])};
+        cr_expect_lt(usage_message_read_ask(&ask, path), 0, "%s", paths[i]);
+    }
+    for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+        cr_expect_lt(
+            usage_message_read_answer(&answer, answers[i], strlen(answers[i])),
+            0, "%s", answers[i]);
+    }
+}
+
+Test(usage, nothing_is_granted_before_members_are_known)
+{
+    usage_share *share = NULL;
+    usage_token token;
+    int64_t retry_us = 0;
+    usage_message message;
+    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
+    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, 10000000),
+                 USAGE_UNCHECKED);
+    cr_expect_gt(retry_us, 0);
+    cr_expect_not(usage_share_poll(&message, share, 1, 10000000));
+    usage_share_free(share);
+}
+
+Test(usage, a_cap_that_is_used_up_says_when_to_return)
+{
+    usage_share *share = NULL;
+    usage_owner *owner = NULL;
+    usage_token token;
+    int64_t retry_us = 0;
+    usage_member self = {SELF, true};
+    int64_t now_us = 2 * CLOCK_US_PER_S;
+    int granted = 0;
+    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
+    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
+    usage_share_set_members(share, &self, 1, 0);
+    for (; now_us < 8 * CLOCK_US_PER_S; now_us += CLOCK_US_PER_S / 5) {
+        usage_exchange(share, owner, 1, now_us);
+    }
+    enum usage_decision decision = USAGE_GRANTED;
+    for (int i = 0; i < 20 && decision != USAGE_OVER_CAP; i++) {
+        decision = usage_share_take(&token, &retry_us, share, 1, now_us);
+        if (decision == USAGE_WAIT) {
+            usage_exchange(share, owner, 1, now_us);
+            decision = usage_share_settle(&token, &retry_us, share, 1, now_us);
+        }
+        granted += decision == USAGE_GRANTED ? 1 : 0;
+    }
+    cr_assert_eq(decision, USAGE_OVER_CAP);
+    cr_expect_eq(granted, 2 + (int)USAGE_CAP_SLACK);
+    now_us += retry_us;
+    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
+                 USAGE_WAIT);
+    usage_exchange(share, owner, 1, now_us);
+    cr_expect_eq(usage_share_settle(&token, &retry_us, share, 1, now_us),
+                 USAGE_GRANTED);
+    usage_share_free(share);
+    usage_owner_free(owner);
+}
+
+Test(usage, requests_given_back_are_granted_again)
+{
+    usage_share *share = NULL;
+    usage_owner *owner = NULL;
+    usage_token token;
+    int64_t retry_us = 0;
+    usage_member self = {SELF, true};
+    int64_t now_us = 2 * CLOCK_US_PER_S;
+    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
+    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
+    usage_share_set_members(share, &self, 1, 0);
+    for (; now_us < 4 * CLOCK_US_PER_S; now_us += CLOCK_US_PER_S / 5) {
+        usage_exchange(share, owner, 1, now_us);
+    }
+    cr_assert_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
+                 USAGE_WAIT);
+    usage_exchange(share, owner, 1, now_us);
+    cr_assert_eq(usage_share_settle(&token, &retry_us, share, 1, now_us),
+                 USAGE_GRANTED);
+    usage_share_return(share, &token, now_us);
+    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
+                 USAGE_GRANTED, "it is in hand");
+    usage_share_return(share, &token, now_us);
+    now_us += USAGE_CAP_GRANT_US;
+    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
+                 USAGE_WAIT, "it has expired");
+    usage_share_free(share);
+    usage_owner_free(owner);
+}
+
+Test(usage, workspaces_without_a_cap_or_unknown_to_the_owner)
+{
+    usage_share *share = NULL;
+    usage_owner *owner = NULL;
+    usage_token token;
+    int64_t retry_us = 0;
+    usage_member self = {SELF, true};
+    int64_t now_us = 2 * CLOCK_US_PER_S;
+    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
+    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
+    usage_share_set_members(share, &self, 1, 0);
+    static const struct {
+        uint32_t workspace;
+        enum usage_decision decision;
+    } cases[] = {{2, USAGE_GRANTED}, {3, USAGE_UNCHECKED}};
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        uint32_t id = cases[i].workspace;
+        cr_assert_eq(usage_share_take(&token, &retry_us, share, id, now_us),
+                     USAGE_WAIT);
+        usage_exchange(share, owner, usage_cap_slot(id), now_us);
+        cr_expect_eq(usage_share_settle(&token, &retry_us, share, id, now_us),
+                     cases[i].decision);
+    }
+    usage_share_free(share);
+    usage_owner_free(owner);
+}
