--- a/include/lav/reason.h
+++ b/include/lav/reason.h
@@ -71,6 +71,8 @@
     X(RETRY_REROUTED, "retry_rerouted")                                       \
     X(RETRY_HIDDEN_RESEND, "retry_hidden_resend")                             \
     X(RATE_LIMITED, "rate_limited")                                           \
+    X(UNKNOWN_KEY, "unknown_key")                                             \
+    X(KEY_NOT_CONFIRMED, "key_not_confirmed")                                 \
     X(OVER_CAP, "over_cap")                                                   \
     X(CAP_UNCHECKED, "cap_unchecked")
 
--- a/src/core/workspace.c
+++ b/src/core/workspace.c
@@ -148,3 +148,10 @@
     }
     return false;
 }
+
+/* Returns the number of API keys of all workspaces. */
+size_t
+workspace_key_count(const workspace_table *table)
+{
+    return g_hash_table_size(table->keys);
+}
