--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -7,6 +7,7 @@
 #include "frontend_identity.h"
 #include "frontend_log.h"
 #include "frontend_private.h"
+#include "frontend_usage.h"
 #include "lav/clock.h"
 #include "lav/counter.h"
 #include "lav/log.h"
@@ -75,6 +76,7 @@
     ev_timer_stop(q->n->l->loop, &q->deadline);
     q->n->requests--;
     g_queue_unlink(&q->n->caller_requests, &q->link);
+    usage_gate_cancel(&q->usage);
     frontend_identity_clear(q);
     attempt_request_clear(&q->r);
     bytebuf_clear(&q->fields);
@@ -91,7 +93,7 @@
     server_conn_end_response(s);
 }
 
-/* Responds with an error of the node itself.  A 503 states that the request
+/* Responds with an error of the node itself.  A 503 or 429 states that the request
  * has not run and never will, and carries Retry-After.  Nor has a request run
  * that gets a 401. */
 void
@@ -99,11 +101,13 @@
 {
     bytebuf fields = {0};
     counter_add_reason(reason);
-    bool not_run = status == HTTP_STATUS_SERVICE_UNAVAILABLE ||
-                   status == HTTP_STATUS_UNAUTHORIZED;
+    bool refused = status == HTTP_STATUS_SERVICE_UNAVAILABLE ||
+                   status == HTTP_STATUS_TOO_MANY_REQUESTS;
+    bool not_run = refused || status == HTTP_STATUS_UNAUTHORIZED;
     counter_add(not_run ? COUNTER_NOT_RUN : COUNTER_UNKNOWN, 1);
     frontend_log_error_response(q, status, reason);
-    if (status == HTTP_STATUS_SERVICE_UNAVAILABLE) {
+    if (refused) {
+        usage_gate_return(&q->usage);
         int64_t after_us = q->r.retry_after_us > 0
                                ? q->r.retry_after_us
                                : local_target_retry_after_us(q->n->local);
@@ -325,7 +329,7 @@
     }
     q->r.retry_after_us = 0;
     frontend_apply_route(q, head, route);
-    frontend_admit_request(q);
+    frontend_take_usage(q);
     return HTTP_CONN_ACCEPT;
 }
 
--- a/src/flow/frontend_log.c
+++ b/src/flow/frontend_log.c
@@ -17,6 +17,9 @@
 const char *
 frontend_log_rate_group(enum reason reason, int status, int depth)
 {
+    if (status == HTTP_STATUS_TOO_MANY_REQUESTS) {
+        return "answer (over cap)";
+    }
     if (status != HTTP_STATUS_SERVICE_UNAVAILABLE) {
         return depth > 0 ? "answer (call, unknown)" : "answer (unknown)";
     }
--- a/src/flow/frontend_private.h
+++ b/src/flow/frontend_private.h
@@ -12,6 +12,7 @@
 #include "hop.h"
 #include "local_target.h"
 #include "server_conn.h"
+#include "usage_gate.h"
 
 /* Response body bytes that are buffered before the response is committed; a
  * larger response is streamed. */
@@ -48,6 +49,7 @@
     GList link; /* in runtime.caller_requests */
     attempt_request r;
     frontend_identity identity;
+    usage_gate_request usage;
     char service[SVC_NAME_SIZE];
     instance_query query;
     frontend_attempt attempt;
--- /dev/null
+++ b/src/flow/frontend_usage.c
@@ -0,0 +1,32 @@
+#include "frontend_usage.h"
+
+/* Goes on with a request that was granted, or refuses it. */
+static void
+frontend_on_usage(const usage_gate_result *result, void *payload)
+{
+    frontend_request *q = payload;
+    if (result->decision == USAGE_GRANTED) {
+        frontend_admit_request(q);
+        return;
+    }
+    q->r.retry_after_us = result->retry_after_us;
+    frontend_respond_error(q, result->status, result->reason);
+}
+
+/* Takes a request from the usage cap of its workspace and admits it, refuses
+ * it, or lets it wait for the answer.  Meanwhile its body is buffered, and its
+ * caller, its deadline and a planned stop may end it.  Requests of no workspace
+ * and calls of targets are admitted at once. */
+void
+frontend_take_usage(frontend_request *q)
+{
+    if (q->r.depth > 0 || q->r.workspace == WORKSPACE_NONE) {
+        frontend_admit_request(q);
+        return;
+    }
+    usage_gate_result result = usage_gate_take(
+        q->n->usage, &q->usage, q->r.workspace, frontend_on_usage, q);
+    if (result.decision != USAGE_WAIT) {
+        frontend_on_usage(&result, q);
+    }
+}
