--- a/src/core/usage_cap.c
+++ b/src/core/usage_cap.c
@@ -5,8 +5,8 @@
 /* Time for which a share is lent for each node that the caps are divided
  * among: owners of large deployments get no more messages a second than those
  * of middling ones. */
-#define USAGE_CAP_LEASE_PER_MEMBER_US 10000
-#define USAGE_CAP_LEASE_MIN_US 1000000
+#define USAGE_CAP_LEASE_PER_MEMBER_US 7000
+#define USAGE_CAP_LEASE_MIN_US 500000
 
 /* Multiplier and shift of a 64-bit mix (Murmur3's finalizer). */
 #define USAGE_CAP_MIX 0xff51afd7ed558ccdULL
--- a/src/core/usage_share.c
+++ b/src/core/usage_share.c
@@ -310,7 +310,8 @@
     int64_t closed_us =
         usage_share_closed_us(share, usage_cap_slot(entry->workspace), now_us);
     if (now_us < entry->paused_until_us) {
-        *retry_after_us = entry->paused_until_us - now_us;
+        *retry_after_us =
+            MAX(entry->paused_until_us - now_us, USAGE_CAP_RETRY_MIN_US);
         return USAGE_OVER_CAP;
     }
     if (closed_us > USAGE_SHARE_WAIT_US) {
--- a/src/flow/frontend_usage.c
+++ b/src/flow/frontend_usage.c
@@ -16,11 +16,11 @@
 /* Takes a request from the usage cap of its workspace and admits it, refuses
  * it, or lets it wait for the answer.  Meanwhile its body is buffered, and its
  * caller, its deadline and a planned stop may end it.  Requests of no workspace
- * and calls of targets are admitted at once. */
+ * and calls of targets, which come on exempt routes, are admitted at once. */
 void
 frontend_take_usage(frontend_request *q)
 {
-    if (q->r.depth > 0 || q->r.workspace == WORKSPACE_NONE) {
+    if (q->identity.exempt || q->r.workspace == WORKSPACE_NONE) {
         frontend_admit_request(q);
         return;
     }
--- /dev/null
+++ b/tests/integration/mesh_usage_test.c
@@ -0,0 +1,218 @@
+/* Usage caps of workspaces over all nodes together, also while the node that
+ * grants a workspace's requests is killed, frozen or cut off. */
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lav/clock.h"
+#include "lav/id.h"
+#include "lav/usage_cap.h"
+#include "mesh.h"
+
+#define RATE 40
+#define BURST 40
+#define WINDOW_US (5 * CLOCK_US_PER_S)
+#define BOUND ((RATE * 5 + BURST) * 1.1 + 20) /* of a window */
+#define WORKSPACES                                                            \
+    "[{\"name\":\"alpha\",\"api_keys\":[\"key-a\"],\"rate_per_s\":40,"        \
+    "\"burst\":40},{\"name\":\"beta\",\"api_keys\":[\"key-b\"]}]"
+#define CALLS_MAX 4000
+#define PAUSE_MS 3     /* between calls: three times the rate and more */
+#define FAULT_MS 3000  /* how long a fault lasts */
+#define SETTLE_MS 1500 /* until all nodes have lent their shares */
+
+/* When a request of "alpha" was begun. */
+static int64_t begun_us[CALLS_MAX];
+static int begun;
+static int calls;
+
+static void
+start_usage(void)
+{
+    mesh_start_proxied();
+    harness_publish_workspaces(2, ROUTES, WORKSPACES);
+    for (int i = 0; i < MESH_NODES; i++) {
+        cr_assert(HARNESS_WAIT_FOR(
+            harness_log_count(i, "\"event\":\"usage_owner\"") >=
+            USAGE_CAP_SLOTS));
+    }
+    harness_sleep_ms(SETTLE_MS);
+}
+
+TestSuite(mesh_usage, .init = start_usage, .fini = harness_stop,
+          .timeout = 60);
+
+/* Sends a request with a key to a node; its status.  `retry_after_s` may be
+ * NULL. */
+static int
+call_with_key(int node, const char *key, double *retry_after_s)
+{
+    char request[512];
+    char id[32];
+    harness_response response;
+    int64_t now_us = clock_now_us();
+    int fd = harness_connect(node);
+    cr_assert_geq(fd, 0);
+    snprintf(id, sizeof(id), "usage-%d", calls++);
+    int size = snprintf(request, sizeof(request),
+                        "GET /i/ok HTTP/1.1\r\nHost: h.example\r\n"
+                        "Lavenderfield-Attempt-Id: %s\r\n"
+                        "Authorization: Bearer %s\r\n\r\n",
+                        id, key);
+    harness_send(fd, request, (size_t)size);
+    harness_read_response(&response, fd);
+    close(fd);
+    const char *field = strstr(response.head, "Retry-After: ");
+    if (retry_after_s != NULL) {
+        *retry_after_s =
+            field == NULL ? -1 : atof(field + strlen("Retry-After: "));
+    }
+    if (harness_run_count(id) > 0 && strcmp(key, "key-a") == 0) {
+        cr_assert_lt(begun, CALLS_MAX);
+        begun_us[begun++] = now_us;
+    }
+    int status = response.status;
+    harness_free_response(&response);
+    return status;
+}
+
+/* The largest number of requests that began within one window. */
+static int
+largest_window(void)
+{
+    int largest = 0;
+    for (int i = 0, first = 0; i < begun; i++) {
+        while (begun_us[i] - begun_us[first] > WINDOW_US) {
+            first++;
+        }
+        largest = i - first + 1 > largest ? i - first + 1 : largest;
+    }
+    return largest;
+}
+
+/* Calls the nodes but `except` in turn for some time; how many requests were
+ * served. */
+static int
+call_for(int ms, int except)
+{
+    int served = 0;
+    int64_t end_us = clock_now_us() + (int64_t)ms * CLOCK_US_PER_MS;
+    for (int i = 0; clock_now_us() < end_us; i++) {
+        if (i % MESH_NODES != except) {
+            served += call_with_key(i % MESH_NODES, "key-a", NULL) == 200;
+            harness_sleep_ms(PAUSE_MS);
+        }
+    }
+    return served;
+}
+
+/* The node that grants the requests of "alpha". */
+static int
+find_owner(void)
+{
+    int slot = usage_cap_slot((uint32_t)id_hash("alpha"));
+    for (int i = 0; i < MESH_NODES; i++) {
+        char text[96];
+        snprintf(text, sizeof(text),
+                 "\"event\":\"usage_owner\",\"slot\":%d,\"node\":\"node%d\"",
+                 slot, i);
+        if (harness_log_contains(0, text)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+Test(mesh_usage, requests_over_a_cap_are_refused_at_all_nodes)
+{
+    int over = 0;
+    int other = 0;
+    int64_t end_us = clock_now_us() + 3 * CLOCK_US_PER_S;
+    for (int i = 0; clock_now_us() < end_us; i++) {
+        double retry_after_s = 0;
+        int status = call_with_key(i % MESH_NODES, "key-a", &retry_after_s);
+        over += status == 429 ? 1 : 0;
+        other += status != 429 && status != 200 ? 1 : 0;
+        if (status == 429) {
+            cr_expect(retry_after_s > 0 && retry_after_s <= 1, "%f",
+                      retry_after_s);
+        }
+        harness_sleep_ms(PAUSE_MS);
+    }
+    cr_expect_gt(over, 0);
+    cr_expect_eq(other, 0, "%d", other);
+    cr_expect_geq(begun, RATE * 3 * 8 / 10, "%d begun", begun);
+    cr_expect_leq(largest_window(), (int)BOUND, "%d of %d",
+                  largest_window(), begun);
+    cr_expect_eq(call_with_key(0, "key-b", NULL), 200, "it has no cap");
+    cr_expect(harness_log_contains(0, "\"reason\":\"over_cap\""));
+}
+
+typedef struct usage_case {
+    const char *name;
+    int begin; /* signal, or 0: the node's links are cut */
+    int end;   /* signal, or 0 */
+} usage_case;
+
+static const usage_case cases[] = {
+    {"killed", SIGKILL, 0}, {"frozen", SIGSTOP, SIGCONT}, {"cut off", 0, 0}};
+
+/* Begins a fault at a node. */
+static void
+begin_fault(const usage_case *c, int node)
+{
+    if (c->begin == 0) {
+        fault_proxy_set_mode(harness_get_peers_proxy(node),
+                             FAULT_PROXY_BLACKHOLE);
+        return;
+    }
+    harness_signal_node(node, c->begin);
+}
+
+/* Ends it. */
+static void
+end_fault(const usage_case *c, int node)
+{
+    if (c->begin == 0) {
+        fault_proxy_set_mode(harness_get_peers_proxy(node), FAULT_PROXY_PASS);
+        fault_proxy_reset_connections(harness_get_peers_proxy(node));
+    }
+    else if (c->end != 0) {
+        harness_signal_node(node, c->end);
+    }
+    else {
+        cr_assert_neq(harness_wait_node_exit(node), -1);
+        harness_start_node(node);
+    }
+}
+
+/* The others go on after the owner's loans have run out, and no window is over
+ * its bound, neither during the fault nor after it. */
+ParameterizedTestParameters(mesh_usage, the_granting_node_fails)
+{
+    static size_t indexes[COUNT(cases)];
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        indexes[i] = i;
+    }
+    return cr_make_param_array(size_t, indexes, COUNT(cases));
+}
+
+ParameterizedTest(size_t *index, mesh_usage, the_granting_node_fails)
+{
+    const usage_case *c = &cases[*index];
+    int owner = find_owner();
+    cr_assert_geq(owner, 0);
+    call_for(1000, -1);
+    begin_fault(c, owner);
+    int served = call_for(FAULT_MS, owner);
+    end_fault(c, owner);
+    int after = call_for(FAULT_MS, owner);
+    cr_expect_gt(served, 0, "%s: none served", c->name);
+    cr_expect_gt(after, RATE, "%s: %d served afterwards", c->name, after);
+    cr_expect_leq(largest_window(), (int)BOUND, "%s: %d in a window", c->name,
+                  largest_window());
+}
