--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -8,6 +8,7 @@
 #include "lav/clock.h"
 #include "lav/id.h"
 #include "lav/log.h"
+#include "usage_gate.h"
 
 /* A target that leaves gets new requests for the drain time divided by
  * this. */
@@ -156,6 +157,9 @@
     n->config_length = length;
     n->config_source = source;
     n->config_since_us = n->l->now_us;
+    if (n->usage != NULL) {
+        usage_gate_configure(n->usage);
+    }
     if (n->on_config != NULL) {
         n->on_config(n);
     }
