--- a/tests/property/usage_property.cpp
+++ b/tests/property/usage_property.cpp
@@ -85,6 +85,7 @@
     uint64_t orders = 0;
     double loss = 0;
     int delay_max_ms = 2;
+    double slow = 0;       // probability of a long delay
     std::vector<int> part; // nodes in different parts don't hear each other
     std::vector<std::vector<bool>> unreachable; // as believed
     bool forgets = false; // nodes drop members that they don't reach
@@ -318,7 +319,8 @@
     if (is_cut(w, mail.from, mail.to) || w.chance() < w.loss) {
         return;
     }
-    mail.at_us = w.now_us + 500 + w.below(w.delay_max_ms * 1000);
+    int delay_max_ms = w.chance() < w.slow ? 600 : w.delay_max_ms;
+    mail.at_us = w.now_us + 500 + w.below(delay_max_ms * 1000);
     mail.order = ++w.orders;
     w.messages++;
     w.wires.push(std::move(mail));
@@ -515,7 +517,8 @@
     case 5:
         w.part.assign(w.part.size(), 0);
         w.loss = w.chance() < 0.5 ? 0 : 0.3 * w.chance();
-        w.delay_max_ms = w.chance() < 0.5 ? 2 : 1 + w.below(600);
+        w.delay_max_ms = w.chance() < 0.7 ? 2 : 1 + w.below(600);
+        w.slow = w.chance() < 0.5 ? 0 : 0.3 * w.chance();
         break;
     case 6:
         for (node &each : w.nodes) {
