usage test: a node renews its loan while a caller waits to return

Since loans last half a second, the share of the test's node had run out when the caller came back after the half second that it was told, and with it the owner's bucket: a node's timer renews it every 50 ms, the test did not. It does now; that the request is granted at exactly the time that was told is checked as before. usage/a_cap_that_is_used_up_says_when_to_return failed.

--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -9,6 +9,7 @@
 #include "usage_message.h"
 
 #define SELF 7U
+#define TIMER_US 50000 /* period of a node's timer */
 
 static workspace usage_caps[] = {
     {.name = "small", .id = 1, .rate_per_s = 2, .burst = 2},
@@ -164,7 +165,11 @@
     }
     cr_assert_eq(decision, USAGE_OVER_CAP);
     cr_expect_eq(granted, 2 + (int)USAGE_CAP_SLACK);
-    now_us += retry_us;
+    int64_t return_us = now_us + retry_us;
+    for (; now_us < return_us; now_us += TIMER_US) {
+        usage_exchange(share, owner, 1, now_us); /* renews the loan */
+    }
+    now_us = return_us;
     cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
                  USAGE_WAIT);
     usage_exchange(share, owner, 1, now_us);
