instance_capacity: what an instance takes well, told to callers

Instances report how long work takes on their host as a fourth figure of their load, which was not read (the whole report was rejected then, also the calls of an earlier start). Where it is there, the node beside the instance finds the limit of running calls from the times of calls at each tenth of the slots, and tells callers what a call takes now (a value more at the end of the hop's response field, absent elsewhere). Callers place by occupancy, with small costs for slower instances and other zones. downstream_makes_calls is new.

--- a/include/lav/downstream.h
+++ b/include/lav/downstream.h
@@ -75,6 +75,8 @@
                               enum origin_kind origin,
                               const downstream_overload *chain_overload,
                               int64_t now_us);
+bool downstream_makes_calls(downstream_table *table, uint32_t route,
+                            int64_t now_us);
 bool downstream_is_internal(const downstream_table *table, uint32_t route);
 downstream_overload downstream_chain_overload(downstream_table *table,
                                               uint32_t route,
--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -8,6 +8,11 @@
  * penalties for another zone, slow calls and failing calls.  An instance that
  * could not be reached, or that is not the one on record, receives no call
  * until its node has answered a probe.
+ *
+ * Where instances tell what a call takes now (instance_capacity), the cost of
+ * load grows with its square and that of another zone is small: at low load
+ * calls go to the faster instances of the zone, at high load to those with
+ * room, so that shares follow speeds.
  */
 #ifndef LAV_INSTANCE_H
 #define LAV_INSTANCE_H
@@ -41,6 +46,11 @@
 #define INSTANCE_JITTER 0.04        /* random; spreads equal choices */
 #define INSTANCE_STOPPING_COST 2.0  /* chosen after all others */
 
+/* The same where instances tell what a call takes now: another zone, and the
+ * upper bound for slower ones. */
+#define INSTANCE_TOLD_ZONE_COST 0.1
+#define INSTANCE_TOLD_SPEED_WEIGHT 0.15
+
 /* Ratio of call times up to which healthy instances differ. */
 #define INSTANCE_SPEED_RATIO_NORMAL 3.0
 
@@ -101,6 +111,7 @@
     int call_us; /* mean duration of a call; 0 if unknown */
     instance_rate rate;
     bool no_retries; /* the services that it calls have no room for retries */
+    int work_us; /* what a call takes now, whatever calls come; 0: not told */
 } instance_load_report;
 
 typedef struct instance_query {
--- a/include/lav/orphan_calls.h
+++ b/include/lav/orphan_calls.h
@@ -25,6 +25,8 @@
     int running;
     int waiting;
     int slots;
+    int host_percent; /* time of work on its host, 100: as usual; 0: not
+                       * told */
 } orphan_calls_load;
 
 bool orphan_calls_load_parse(orphan_calls_load *out, const char *text);
--- a/include/lav/work_time.h
+++ b/include/lav/work_time.h
@@ -29,6 +29,7 @@
 } work_time_route;
 
 typedef struct work_time_table {
+    double weight; /* of one call in the average; 0: WORK_TIME_WEIGHT */
     work_time_route routes[WORK_TIME_ROUTES_MAX];
     int count;
 } work_time_table;
@@ -39,6 +40,7 @@
                        int64_t now_us);
 int64_t work_time_expected_us(const work_time_table *table, uint32_t route,
                               int64_t now_us);
+int64_t work_time_mean_us(const work_time_table *table, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/lab/emu.c
+++ b/lab/emu.c
@@ -8,6 +8,7 @@
 #include "lav/retry_after.h"
 #include "lav/retry.h"
 
+#define EMU_NOISE_PERIOD_US 100000   /* of the load of other users */
 #define EMU_EXPIRY_INTERVAL_US 10000 /* granularity of queue timeouts */
 #define EMU_SETTLE_S 2.0             /* after a disruption, not tallied */
 #define EMU_MEAN_WEIGHT 0.03         /* of one call in the moving average */
@@ -195,6 +196,55 @@
 
 static void emu_dispatch_queued(emu *m, int index);
 
+/* Returns the factor on the work time of the host of a node at present. */
+static double
+emu_host_factor(const emu *m, const emu_node *node)
+{
+    const emu_hosts *hosts = &m->opts->hosts;
+    bool quiet = (m->now_us / EMU_NOISE_PERIOD_US + node->index) % 2 == 0;
+    return hosts->noise > 0 && hosts->service == node->service && !quiet
+               ? hosts->noise
+               : 1;
+}
+
+/* Returns the factor on the work time of a target that has its slots filled
+ * beyond its knee. */
+static double
+emu_knee_factor(const emu *m, const emu_node *node)
+{
+    const emu_hosts *hosts = &m->opts->hosts;
+    double share =
+        (double)target_queue_running_count(node->queue) / node->slots;
+    return hosts->service == node->service && share > hosts->knee
+               ? 1 + (share - hosts->knee) * hosts->slower
+               : 1;
+}
+
+/* Returns the figure of the host of a node, in percent. */
+static int
+emu_host_percent(const emu *m, const emu_node *node)
+{
+    return (int)(emu_host_factor(m, node) * INSTANCE_CAPACITY_HOST_USUAL);
+}
+
+/* Records the time of an execution that succeeded, if the target tells how long
+ * work takes on its host. */
+static void
+emu_record_time(emu *m, emu_node *node, const emu_job *job, int64_t took_us)
+{
+    if (!m->opts->hosts.told) {
+        return;
+    }
+    instance_capacity_call call = {
+        emu_hash(job->kind), job->beside, job->host_percent, took_us,
+        m->opts->kinds[job->kind].calls[0].times > 0};
+    instance_capacity_set_host(&node->capacity, emu_host_percent(m, node));
+    instance_capacity_add(&node->capacity, &call, node->slots, m->now_us);
+    target_queue_set_limit(
+        node->queue, instance_capacity_limit(&node->capacity, node->slots),
+        m->now_us);
+}
+
 /* Ends an execution: frees its slot, replies and dispatches queued calls. */
 static void
 emu_finish_run(emu *m, emu_job *job, bool ok)
@@ -211,6 +261,7 @@
             node->mean_call_us == 0
                 ? (double)took_us
                 : ((double)took_us - node->mean_call_us) * EMU_MEAN_WEIGHT;
+        emu_record_time(m, node, job, took_us);
     }
     overload_count_end(&node->overload);
     downstream_record_end(node->downstream, emu_hash(job->kind), !ok,
@@ -250,7 +301,8 @@
     double work_us = (double)k->work_us *
                      exp((normal - 6) * EMU_WORK_SIGMA -
                          EMU_WORK_SIGMA * EMU_WORK_SIGMA / 2) /
-                     node->speed;
+                     node->speed * emu_host_factor(m, node) *
+                     emu_knee_factor(m, node);
     if (emu_disruption_active(m, m->now_us) &&
         t->slow_service == node->service && node->index < t->slow_count) {
         work_us *= t->slower;
@@ -258,6 +310,8 @@
     downstream_begin_run(node->downstream, emu_hash(job->kind), job->weight,
                          m->now_us);
     job->run_start_us = m->now_us;
+    job->host_percent = emu_host_percent(m, node);
+    job->beside = target_queue_running_count(node->queue);
     job->executed = true;
     job->runs++;
     for (emu_job *up = job->parent; up != NULL; up = up->parent) {
--- a/lab/emu.h
+++ b/lab/emu.h
@@ -52,12 +52,23 @@
     double slower;    /* factor on the work time of these */
 } emu_disruption;
 
+/* Targets of a service that slow down as they fill, on hosts with other
+ * users.  All zero: none. */
+typedef struct emu_hosts {
+    int service;
+    double knee;   /* share of the slots from which on work takes longer */
+    double slower; /* more of it per share of the slots beyond the knee */
+    double noise;  /* factor on work in every other EMU_NOISE_PERIOD_US */
+    bool told;     /* targets tell how long work takes on their hosts */
+} emu_hosts;
+
 typedef struct emu_options {
     const emu_service *services;
     int service_count;
     const emu_kind *kinds;
     int kind_count;
     emu_disruption disruption;
+    emu_hosts hosts;
     double seconds;
     int zones;
     uint64_t seed;
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -12,6 +12,7 @@
 #include "lav/downstream.h"
 #include "lav/target_queue.h"
 #include "lav/instance.h"
+#include "lav/instance_capacity.h"
 #include "lav/shedder.h"
 #include "lav/overload.h"
 
@@ -45,6 +46,8 @@
     bool finished; /* replied to, or timed out */
     bool ok;       /* success, in the reply that is under way */
     enum reason refusal;
+    int beside;       /* calls that ran as its execution began, with itself */
+    int host_percent; /* the figure of its host then */
     int calls_made;
     int runs; /* executions for it and for the calls below it */
     instance_query query;
@@ -61,6 +64,8 @@
     downstream_table *downstream;
     shedder_state *shedder;
     target_queue *queue;
+    instance_capacity capacity;
+    int slots;
     overload_meter overload;
     double mean_call_us; /* moving average of execution times */
     service_level_table levels;
--- a/lab/emu_report.c
+++ b/lab/emu_report.c
@@ -64,12 +64,13 @@
 {
     emu_node *from = &m->nodes[job->from];
     emu_node *at = &m->nodes[job->at];
-    instance_load_report report = {.busy =
-                                       target_queue_running_count(at->queue) +
-                                       target_queue_queued_count(at->queue),
-                                   .limit = target_queue_get_limit(at->queue),
-                                   .state = INSTANCE_READY,
-                                   .call_us = (int)at->mean_call_us};
+    instance_load_report report = {
+        .busy = target_queue_running_count(at->queue) +
+                target_queue_queued_count(at->queue),
+        .limit = target_queue_get_limit(at->queue),
+        .state = INSTANCE_READY,
+        .call_us = (int)at->mean_call_us,
+        .work_us = instance_capacity_call_us(&at->capacity, m->now_us)};
     downstream_overload chain_overload = emu_chain_overload(m, at, job->kind);
     enum origin_kind origin =
         downstream_route_origin(at->downstream, emu_hash(job->kind));
--- a/lab/emu_run.c
+++ b/lab/emu_run.c
@@ -41,6 +41,7 @@
     shedder_new(&node->shedder, &node->levels,
                 m->opts->seed + (uint64_t)(node - m->nodes));
     target_queue_new(&node->queue);
+    node->slots = s->slots;
     target_queue_set_limit(node->queue, s->slots, 0);
     target_queue_set_mixed(
         node->queue, m->opts->mixed_queue && emu_serves_mixed_work(m, service),
--- a/src/core/downstream.c
+++ b/src/core/downstream.c
@@ -5,6 +5,9 @@
 
 #include "lav/err.h"
 
+/* Fewer calls per run than this are an error of the fit. */
+#define DOWNSTREAM_CALLS_PER_RUN_MIN 0.1
+
 typedef struct downstream_route {
     /* Of the requests that run at the target of this node. */
     origin_counts origins;
@@ -109,6 +112,14 @@
     call_rate_begin_run(&table->calls, route, now_us);
 }
 
+/* Whether runs of a route make internal requests, as far as is known. */
+bool
+downstream_makes_calls(downstream_table *table, uint32_t route, int64_t now_us)
+{
+    return call_rate_total_per_run(&table->calls, route, now_us) >
+           DOWNSTREAM_CALLS_PER_RUN_MIN;
+}
+
 /* Records that a run that downstream_begin_run() recorded is over. */
 void
 downstream_end_run(downstream_table *table, uint32_t route, int64_t now_us)
--- a/src/core/instance_pick.c
+++ b/src/core/instance_pick.c
@@ -52,11 +52,47 @@
     return fastest_us;
 }
 
-/* Returns the cost of sending a call to an instance, as a fraction of its
- * limit: its load and the penalties of instance.h. */
+/* Returns the shortest time that a call takes now, in us, as the ready
+ * instances of a service tell; 0 if none does. */
+static int
+instance_least_work_us(const instance_table *table, const GArray *group,
+                       const char *service)
+{
+    int least_us = 0;
+    for (guint i = 0; i < group->len; i++) {
+        const instance_entry *entry =
+            &table->entries[g_array_index(group, int, i)];
+        if (instance_is_ready(entry, service) && entry->report.work_us > 0 &&
+            (least_us == 0 || entry->report.work_us < least_us)) {
+            least_us = entry->report.work_us;
+        }
+    }
+    return least_us;
+}
+
+/* Returns the cost of load, speed and distance of an instance of a service
+ * whose instances tell what a call takes now, at least `least_us`. */
 static double
-instance_cost(const instance_table *table, int handle, const char *zone,
-              int fastest_us, int64_t now_us)
+instance_told_cost(const instance_table *table, int handle, const char *zone,
+                   int least_us, int64_t now_us)
+{
+    const instance_entry *entry = &table->entries[handle];
+    double cost = instance_relative_load(table, handle, now_us);
+    if (entry->report.work_us > 0) {
+        cost += INSTANCE_TOLD_SPEED_WEIGHT *
+                (1 - (double)least_us / entry->report.work_us);
+    }
+    if (strcmp(entry->record.zone, zone) != 0) {
+        cost += INSTANCE_TOLD_ZONE_COST;
+    }
+    return cost;
+}
+
+/* Returns the cost of load, speed and distance of an instance of a service
+ * whose fastest instance takes `fastest_us`. */
+static double
+instance_plain_cost(const instance_table *table, int handle, const char *zone,
+                    int fastest_us, int64_t now_us)
 {
     const instance_entry *entry = &table->entries[handle];
     double cost = instance_relative_load(table, handle, now_us);
@@ -68,13 +104,34 @@
                     log2(slower / INSTANCE_SPEED_RATIO_NORMAL);
         }
     }
+    if (strcmp(entry->record.zone, zone) != 0) {
+        cost += INSTANCE_ZONE_COST;
+    }
+    return cost;
+}
+
+/* The fastest instances of a service. */
+typedef struct instance_speeds {
+    int fastest_us; /* by mean call time; 0: not known */
+    int least_us;   /* by what a call takes now; 0: no instance tells it */
+} instance_speeds;
+
+/* Returns the cost of sending a call to an instance, as a fraction of its
+ * limit: its load and the penalties of instance.h. */
+static double
+instance_cost(const instance_table *table, int handle, const char *zone,
+              const instance_speeds *speeds, int64_t now_us)
+{
+    const instance_entry *entry = &table->entries[handle];
+    double cost =
+        speeds->least_us > 0
+            ? instance_told_cost(table, handle, zone, speeds->least_us, now_us)
+            : instance_plain_cost(table, handle, zone, speeds->fastest_us,
+                                  now_us);
     cost += entry->report.failures_permille / 1000.0 * INSTANCE_FAILURE_WEIGHT;
     if (entry->report.state == INSTANCE_STOPPING) {
         cost += INSTANCE_STOPPING_COST;
     }
-    if (strcmp(entry->record.zone, zone) != 0) {
-        cost += INSTANCE_ZONE_COST;
-    }
     return cost + g_rand_double_range(table->random, 0, INSTANCE_JITTER);
 }
 
@@ -135,7 +192,9 @@
     if (group == NULL) {
         return INSTANCE_NONE;
     }
-    int fastest_us = instance_fastest_us(table, group, query->service);
+    instance_speeds speeds = {
+        instance_fastest_us(table, group, query->service),
+        instance_least_work_us(table, group, query->service)};
     for (guint at = 0; at < group->len; at++) {
         int i = g_array_index(group, int, at);
         const instance_entry *entry = &table->entries[i];
@@ -158,7 +217,7 @@
             }
             continue;
         }
-        double cost = instance_cost(table, i, query->zone, fastest_us, now_us);
+        double cost = instance_cost(table, i, query->zone, &speeds, now_us);
         if (best == INSTANCE_NONE || cost < lowest_cost) {
             best = i;
             lowest_cost = cost;
--- a/src/core/orphan_calls.c
+++ b/src/core/orphan_calls.c
@@ -11,15 +11,25 @@
     return value >= 0 && value <= ORPHAN_CALLS_LOAD_MAX;
 }
 
-/* Parses "running,waiting,slots"; false if the text is anything else. */
+/* Parses "running,waiting,slots", which may be followed by ",percent" (above
+ * 0); false if the text is anything else. */
 bool
 orphan_calls_load_parse(orphan_calls_load *out, const char *text)
 {
-    orphan_calls_load load;
+    orphan_calls_load load = {0};
     int end = 0;
+    int percent_end = 0;
     if (sscanf(text, "%9d,%9d,%9d%n", &load.running, &load.waiting,
-               &load.slots, &end) != 3 ||
-        text[end] != '\0' || !orphan_calls_is_count(load.running) ||
+               &load.slots, &end) != 3) {
+        return false;
+    }
+    if (sscanf(text + end, ",%9d%n", &load.host_percent, &percent_end) == 1 &&
+        (load.host_percent <= 0 ||
+         !orphan_calls_is_count(load.host_percent))) {
+        return false;
+    }
+    if (text[end + percent_end] != '\0' ||
+        !orphan_calls_is_count(load.running) ||
         !orphan_calls_is_count(load.waiting) ||
         !orphan_calls_is_count(load.slots)) {
         return false;
--- a/src/core/work_time.c
+++ b/src/core/work_time.c
@@ -44,10 +44,10 @@
               int64_t now_us)
 {
     work_time_route *entry = work_time_get(table, route);
-    entry->mean_us +=
-        entry->mean_us == 0
-            ? (double)took_us
-            : ((double)took_us - entry->mean_us) * WORK_TIME_WEIGHT;
+    double weight = table->weight > 0 ? table->weight : WORK_TIME_WEIGHT;
+    entry->mean_us += entry->mean_us == 0
+                          ? (double)took_us
+                          : ((double)took_us - entry->mean_us) * weight;
     entry->sampled_at_us = now_us;
 }
 
@@ -63,6 +63,16 @@
     }
 }
 
+/* Returns what is expected of an entry, in us. */
+static int64_t
+work_time_entry_us(const work_time_route *entry, int64_t now_us)
+{
+    double half_lives =
+        (double)(now_us - entry->sampled_at_us) / WORK_TIME_HALF_LIFE_US;
+    return (int64_t)(half_lives < 1 ? entry->mean_us
+                                    : entry->mean_us * exp2(1 - half_lives));
+}
+
 /* Returns how long a call of a route is expected to take, in us; 0 if that is
  * not known. */
 int64_t
@@ -70,11 +80,17 @@
                       int64_t now_us)
 {
     const work_time_route *entry = work_time_find(table, route);
-    if (entry == NULL) {
-        return 0;
+    return entry == NULL ? 0 : work_time_entry_us(entry, now_us);
+}
+
+/* Returns the mean over the routes of what is expected, in us, whatever their
+ * numbers of calls; 0 if there are none. */
+int64_t
+work_time_mean_us(const work_time_table *table, int64_t now_us)
+{
+    int64_t sum_us = 0;
+    for (int i = 0; i < table->count; i++) {
+        sum_us += work_time_entry_us(&table->routes[i], now_us);
     }
-    double half_lives =
-        (double)(now_us - entry->sampled_at_us) / WORK_TIME_HALF_LIFE_US;
-    return (int64_t)(half_lives < 1 ? entry->mean_us
-                                    : entry->mean_us * exp2(1 - half_lives));
+    return table->count > 0 ? sum_us / table->count : 0;
 }
--- a/src/flow/hop.c
+++ b/src/flow/hop.c
@@ -17,6 +17,7 @@
 #define HOP_RESPONSE_VALUES_MIN 13
 
 #define HOP_PERMILLE 1000
+#define HOP_WORK " w"        /* before what a call takes at an instance */
 #define HOP_NOT_LIMITED (-1) /* rate of an instance that has named no limit */
 #define HOP_REROUTED 1       /* flags of a request */
 #define HOP_RESENT 2
@@ -41,15 +42,19 @@
                      : (instance_rate){true, (double)value / HOP_PERMILLE};
 }
 
-/* Appends the levels to a header line, and its end. */
+/* Appends the levels to a header line, what a call takes at the instance, if
+ * `work_us` is not 0, and the end of the line. */
 static void
-hop_write_levels(bytebuf *out, const hop_levels *levels)
+hop_write_levels(bytebuf *out, const hop_levels *levels, int work_us)
 {
     for (int i = 0; i < levels->count; i++) {
         const service_level_report *level = &levels->list[i];
         bytebuf_appendf(out, " %" PRIx32 " %d %" PRId64, level->service,
                         (int)(level->level * HOP_PERMILLE), level->age_us);
     }
+    if (work_us > 0) {
+        bytebuf_appendf(out, HOP_WORK "%d", work_us);
+    }
     bytebuf_append_text(out, "\r\n");
 }
 
@@ -92,7 +97,7 @@
                     flags, (int)(request->retry_probability * HOP_PERMILLE),
                     request->instance, hop_encode_rate(&request->rate),
                     (int)(request->weight * HOP_PERMILLE));
-    hop_write_levels(out, &request->levels);
+    hop_write_levels(out, &request->levels, 0);
 }
 
 /* Parses the value of a request's header field; ERR_INVALID if a part is
@@ -138,6 +143,21 @@
     return valid ? 0 : ERR_INVALID;
 }
 
+/* Returns what a call takes at an instance, in us, as the end of a response's
+ * value states it; 0 if it doesn't, or the time is out of range. */
+static int
+hop_read_work_us(const char *text)
+{
+    const char *work = strstr(text, HOP_WORK);
+    int64_t work_us = 0;
+    if (work == NULL ||
+        sscanf(work + strlen(HOP_WORK), "%" SCNd64, &work_us) != 1 ||
+        work_us < 0 || work_us > INT32_MAX) {
+        return 0;
+    }
+    return (int)work_us;
+}
+
 /* Appends the header line that accompanies a response. */
 void
 hop_write_response(bytebuf *out, const hop_response *response)
@@ -155,7 +175,7 @@
         response->nonce, r->no_retries, hop_encode_rate(&r->rate),
         (int64_t)MIN(response->chain_overload.cost_us, HOP_DURATION_MAX_US),
         (int)(response->own_level * HOP_PERMILLE));
-    hop_write_levels(out, &response->levels);
+    hop_write_levels(out, &response->levels, r->work_us);
 }
 
 /* Parses the value of a response's header field; ERR_INVALID if a part is
@@ -210,6 +230,7 @@
     out->outcome = (enum outcome)outcome;
     out->reason = (enum reason)reason;
     r->no_retries = no_retries != 0;
+    r->work_us = hop_read_work_us(text);
     r->rate = hop_decode_rate(rate);
     out->reached = reached != 0;
     r->state = (enum instance_state)state;
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -101,14 +101,23 @@
     }
 }
 
-/* Sets how many calls the target may run concurrently: below the share of its
- * slots from which on some targets slow down, less the calls that an earlier
- * start of the node left running; at least one. */
+/* Returns how many calls the target may run concurrently if it takes them
+ * well: below the share of its slots from which on some targets slow down. */
+static int
+local_target_usable_slots(const local_target *t)
+{
+    return (int)ceil(t->slots * LOCAL_TARGET_USABLE_SLOTS_RATIO) - 1;
+}
+
+/* Sets how many calls the target may run concurrently: those that it takes
+ * well, less the calls that an earlier start of the node left running; at
+ * least one. */
 void
 local_target_update_limit(local_target *t)
 {
-    int limit = (int)ceil(t->slots * LOCAL_TARGET_USABLE_SLOTS_RATIO) - 1 -
-                orphan_calls_count(&t->orphans);
+    int limit =
+        instance_capacity_limit(&t->capacity, local_target_usable_slots(t)) -
+        orphan_calls_count(&t->orphans);
     target_queue_set_limit(t->queue, limit < 1 ? 1 : limit, t->n->l->now_us);
 }
 
@@ -129,7 +138,8 @@
         .failures_permille = (int)(t->failure_rate * LOCAL_TARGET_PERMILLE),
         .state = state,
         .call_us = (int)t->call_us,
-        .no_retries = !runtime_takes_retries(t->n)};
+        .no_retries = !runtime_takes_retries(t->n),
+        .work_us = instance_capacity_call_us(&t->capacity, t->n->l->now_us)};
 }
 
 /* Returns the share of the requests that lead here that can be admitted, as
@@ -323,6 +333,27 @@
     }
 }
 
+/* Records the time of a call that ended with success; the target may take more
+ * or fewer calls from then on. */
+static void
+local_target_record_time(local_target *t, const local_target_call *call,
+                         int64_t took_us)
+{
+    int64_t now_us = t->n->l->now_us;
+    int usable = local_target_usable_slots(t);
+    if (t->capacity.host_percent == 0) {
+        return;
+    }
+    int before = instance_capacity_limit(&t->capacity, usable);
+    instance_capacity_call ended = {
+        call->r->route, call->beside, call->host_percent, took_us,
+        downstream_makes_calls(t->n->downstream, call->r->route, now_us)};
+    instance_capacity_add(&t->capacity, &ended, usable, now_us);
+    if (instance_capacity_limit(&t->capacity, usable) != before) {
+        local_target_update_limit(t);
+    }
+}
+
 /* Ends a running call: records its time or failure and frees its slot. */
 void
 local_target_finish_call(local_target_call *call, bool failed)
@@ -336,6 +367,7 @@
         t->call_us += t->call_us == 0 ? (double)took_us
                                       : ((double)took_us - t->call_us) *
                                             LOCAL_TARGET_CALL_TIME_WEIGHT;
+        local_target_record_time(t, call, took_us);
     }
     overload_count_end(&t->overload);
     target_queue_end_call(t->queue, call->handle, failed ? -1 : took_us,
--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -297,6 +297,8 @@
 {
     local_target *t = call->target;
     call->started_us = t->n->l->now_us;
+    call->host_percent = t->capacity.host_percent;
+    call->beside = target_queue_running_count(t->queue);
     call->generation = t->generation;
     if (call->r->deadline_us <= t->n->l->now_us) {
         *reason = REASON_DEADLINE;
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -9,6 +9,7 @@
 #include "lav/target_queue.h"
 #include "lav/departed_targets.h"
 #include "lav/dispatch.h"
+#include "lav/instance_capacity.h"
 #include "lav/overload.h"
 #include "http_async.h"
 #include "lav/orphan_calls.h"
@@ -58,6 +59,7 @@
     double call_us;          /* mean time of recent calls in the target */
     bool responded; /* since this start of the node, and of the target */
     target_queue *queue;
+    instance_capacity capacity; /* of targets that tell the host's speed */
     overload_meter overload;
     dispatch_table *dispatches; /* of non-idempotent attempts */
     local_target_call *calls[LOCAL_TARGET_CALLS_MAX];
@@ -89,6 +91,8 @@
     int status;            /* of the response */
     int64_t keep_alive_us; /* how long the connection may stay idle */
     int64_t started_us;    /* when it was dispatched */
+    int beside;            /* calls that ran then, with itself */
+    int host_percent;      /* the figure of its host then */
 };
 
 enum instance_state local_target_state(const local_target *t);
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -289,17 +289,22 @@
     local_target_confirm(t);
 }
 
-/* Updates the number of orphaned calls from the load that the target reports
- * in a response. */
+/* Updates the number of orphaned calls, and what is known of the host, from the
+ * load that the target reports in a response. */
 void
 local_target_update_load(local_target *t, const http_head *head)
 {
     char text[LOCAL_TARGET_LOAD_SIZE];
     orphan_calls_load load;
+    if (!http_str_copy(text, sizeof(text),
+                       http_head_get_field(head, t->n->header_names->load)) ||
+        !orphan_calls_load_parse(&load, text)) {
+        return;
+    }
+    if (load.host_percent > 0) {
+        instance_capacity_set_host(&t->capacity, load.host_percent);
+    }
     if (orphan_calls_count(&t->orphans) > 0 &&
-        http_str_copy(text, sizeof(text),
-                      http_head_get_field(head, t->n->header_names->load)) &&
-        orphan_calls_load_parse(&load, text) &&
         orphan_calls_update(&t->orphans, &load,
                             target_queue_running_count(t->queue))) {
         local_target_update_limit(t);
--- a/src/flow/local_target_state.c
+++ b/src/flow/local_target_state.c
@@ -71,6 +71,7 @@
     t->responded = false;
     target_queue_clear_rate(t->queue);
     t->failure_rate = 0;
+    t->capacity = (instance_capacity){0};
     t->orphans = (orphan_calls){0};
     t->unconfirmed = (local_target_heartbeat){0};
     conn_pool_close_idle(t->n->pool, &t->address);
