--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -349,8 +349,10 @@
         call->r->route, call->beside, call->host_percent, took_us,
         downstream_makes_calls(t->n->downstream, call->r->route, now_us)};
     instance_capacity_add(&t->capacity, &ended, usable, now_us);
-    if (instance_capacity_limit(&t->capacity, usable) != before) {
+    int limit = instance_capacity_limit(&t->capacity, usable);
+    if (limit != before) {
         local_target_update_limit(t);
+        local_target_log_capacity(t, limit, before);
     }
 }
 
--- a/src/flow/local_target_log.c
+++ b/src/flow/local_target_log.c
@@ -6,6 +6,9 @@
 /* Largest number of lines per second about the admission level. */
 #define LOCAL_TARGET_LEVEL_LINES_PER_S 2
 
+/* The same about the limit of running calls. */
+#define LOCAL_TARGET_CAPACITY_LINES_PER_S 1
+
 /* Logs why a request was refused or failed, with the load figures behind the
  * decision. */
 void
@@ -33,6 +36,20 @@
         (json_int_t)(r->deadline_us - t->n->l->now_us));
 }
 
+/* Logs that the target takes more or fewer calls well than before. */
+void
+local_target_log_capacity(const local_target *t, int limit, int before)
+{
+    if (!log_allow_line("target_capacity",
+                        LOCAL_TARGET_CAPACITY_LINES_PER_S)) {
+        return;
+    }
+    log_event(LOG_INFO, "target_capacity", NULL, "{s:s,s:i,s:i,s:i,s:i,s:i}",
+              "instance", t->instance, "limit", limit, "was", before, "slots",
+              t->slots, "host_percent", t->capacity.host_percent, "call_us",
+              instance_capacity_call_us(&t->capacity, t->n->l->now_us));
+}
+
 /* Logs how far a request had progressed when it was cancelled by its caller or
  * by a timeout. */
 void
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -112,6 +112,7 @@
 void local_target_update_leaving(local_target *t, const http_head *head);
 void local_target_update_load(local_target *t, const http_head *head);
 void local_target_log_level(const local_target *t);
+void local_target_log_capacity(const local_target *t, int limit, int before);
 void local_target_log_cancel(const local_target_call *call);
 int local_target_dispatch_call(local_target_call *call, enum reason *reason);
 void local_target_finish_call(local_target_call *call, bool failed);
