instance_pick: failures told long ago count for less

Where instances tell what a call takes: an instance that was left alone since it failed calls sent no new report, and stayed alone for seconds after it served again, while others of its service were full.

--- a/src/core/instance_pick.c
+++ b/src/core/instance_pick.c
@@ -116,6 +116,20 @@
     int least_us;   /* by what a call takes now; 0: no instance tells it */
 } instance_speeds;
 
+/* Returns the share of calls that fail at an instance, 0 to 1.  Where instances
+ * tell what a call takes, an old report counts for less, like its load: one
+ * that was left alone as it failed has no other way to show that it serves. */
+static double
+instance_failure_share(const instance_entry *entry,
+                       const instance_speeds *speeds, int64_t now_us)
+{
+    double share = entry->report.failures_permille / 1000.0;
+    int64_t age_us = now_us - entry->reported_at_us;
+    return speeds->least_us > 0 && age_us > INSTANCE_REPORT_MAX_AGE_US
+               ? share * INSTANCE_REPORT_MAX_AGE_US / (double)age_us
+               : share;
+}
+
 /* Returns the cost of sending a call to an instance, as a fraction of its
  * limit: its load and the penalties of instance.h. */
 static double
@@ -128,7 +142,8 @@
             ? instance_told_cost(table, handle, zone, speeds->least_us, now_us)
             : instance_plain_cost(table, handle, zone, speeds->fastest_us,
                                   now_us);
-    cost += entry->report.failures_permille / 1000.0 * INSTANCE_FAILURE_WEIGHT;
+    cost += instance_failure_share(entry, speeds, now_us) *
+            INSTANCE_FAILURE_WEIGHT;
     if (entry->report.state == INSTANCE_STOPPING) {
         cost += INSTANCE_STOPPING_COST;
     }
--- a/tests/unit/pick_test.c
+++ b/tests/unit/pick_test.c
@@ -249,6 +249,50 @@
     }
 }
 
+typedef struct failure_case {
+    int64_t age_us; /* of the report of the failures */
+    bool told;
+    int expected;
+} failure_case;
+
+/* Instance 0 is in the own zone and fails half of its calls. */
+static const failure_case failure_cases[] = {
+    {0, true, 1},
+    {INSTANCE_REPORT_MAX_AGE_US, true, 1},
+    {20 * INSTANCE_REPORT_MAX_AGE_US, true, 0},
+    {20 * INSTANCE_REPORT_MAX_AGE_US, false, 1},
+};
+
+/* An instance that failed is left alone, so it has no newer report. */
+Test(pick, failures_told_long_ago_count_for_less)
+{
+    for (size_t i = 0; i < COUNT(failure_cases); i++) {
+        const failure_case *c = &failure_cases[i];
+        instance_table *fleet = NULL;
+        cr_assert_eq(instance_new(&fleet, 1), 0);
+        for (int j = 0; j < 2; j++) {
+            instance_record record = {.service = "s",
+                                      .incarnation = 1,
+                                      .state = INSTANCE_READY,
+                                      .slots = 10};
+            snprintf(record.node, sizeof(record.node), "n%d", j);
+            snprintf(record.zone, sizeof(record.zone), "%s",
+                     j == 0 ? "here" : "there");
+            cr_assert(instance_update(fleet, &record));
+            instance_load_report report = {.limit = 10,
+                                           .failures_permille =
+                                               j == 0 ? 500 : 0,
+                                           .state = INSTANCE_READY,
+                                           .work_us = c->told ? 50000 : 0};
+            instance_set_load(fleet, j, &report, 1000);
+        }
+        instance_query query = {.service = "s", .zone = "here"};
+        cr_expect_eq(instance_pick(fleet, &query, 1000 + c->age_us),
+                     c->expected, "%zu", i);
+        instance_free(fleet);
+    }
+}
+
 typedef struct wire_case {
     int work_us;
     bool on_the_wire;
