chain_level: chains are admitted by the retries that their calls need

Cause: while the deepest service refuses half of all calls, with free slots, a request of eight calls succeeds as good as never. Routes that call nothing there were taken for chains, as the load of all routes swings alike.

Change, for deployments with a service that takes mixed work: that service's nodes measure which share of the calls their targets refuse, and tell the share of the chains whose calls find retries enough, as a level beside that of the service (chain_level). The shedder fills it by priority without a floor, and doesn't apply it to requests that run at the service itself. Routes that succeed while others fail are no chains (downstream), and routes are unbound by their reports. Retries are paced over the budget's window.

--- a/include/lav/downstream.h
+++ b/include/lav/downstream.h
@@ -47,6 +47,11 @@
 /* Time that a detected dependency is remembered. */
 #define DOWNSTREAM_DEPENDENCY_TTL_US 60000000
 
+/* Share of failed runs of one route at which another route that is called here
+ * as often, and doesn't fail, is seen not to depend on what the first calls. */
+#define DOWNSTREAM_SPARED_FAILURE_SHARE_MIN 0.2
+#define DOWNSTREAM_SPARED_RUNS_MIN 40 /* runs that must have ended */
+
 /* An overloaded service, and by how much. */
 typedef struct downstream_overload {
     uint32_t service; /* hash of its name; 0: none */
@@ -58,6 +63,7 @@
 
 int downstream_new(downstream_table **out);
 void downstream_free(downstream_table *table);
+void downstream_set_whole(downstream_table *table, bool whole);
 void downstream_record_arrival(downstream_table *table, uint32_t route,
                                uint32_t origin, origin_share_cb node_share,
                                void *payload);
--- a/include/lav/overload.h
+++ b/include/lav/overload.h
@@ -40,7 +40,7 @@
 
 /* Share of the ended calls that the target itself failed, from which on it, and
  * not a lack of slots, is what chains of calls break at. */
-#define OVERLOAD_FAILING_SHARE_MIN 0.05
+#define OVERLOAD_FAILING_SHARE_MIN 0.15
 
 /* Change of the target factor per window. */
 #define OVERLOAD_TARGET_DECREASE 0.03
--- a/include/lav/routing.h
+++ b/include/lav/routing.h
@@ -70,6 +70,7 @@
 void routing_sort(routing_table *table);
 void routing_set_workspaces(routing_table *table, workspace_table *workspaces);
 const workspace_table *routing_get_workspaces(const routing_table *table);
+bool routing_has_mixed_work(const routing_table *table);
 bool routing_serves_mixed_work(const routing_table *table,
                                const char *service);
 const routing_limits *routing_get_limits(const routing_table *table);
--- a/include/lav/shedder.h
+++ b/include/lav/shedder.h
@@ -33,6 +33,11 @@
  * a quarter of the remainder starves. */
 #define SHEDDER_PRIORITY_SHARE_MIN 0.4
 
+/* Share of the recent reports that must name the service that limits a route,
+ * where whole chains are admitted, and weight of one of them. */
+#define SHEDDER_AGREED_MIN 0.25
+#define SHEDDER_AGREED_WEIGHT 0.3
+
 #define SHEDDER_COST_WEIGHT 0.2 /* of one report in the moving average */
 
 /* Cost of a request whose cost is not known, 1 ms. */
@@ -45,12 +50,16 @@
 
 int shedder_new(shedder_state **out, const service_level_table *levels,
                 uint64_t seed);
+void shedder_set_whole(shedder_state *state, bool whole);
 void shedder_free(shedder_state *state);
 void shedder_record_report(shedder_state *state, uint32_t route,
+                           uint32_t runs_at,
                            const downstream_overload *chain_overload,
                            int64_t now_us);
 bool shedder_admit(shedder_state *state, uint32_t route, int priority,
                    int64_t now_us);
+double shedder_get_share(const shedder_state *state, uint32_t route,
+                         int priority);
 service_level_report shedder_get_limit(const shedder_state *state,
                                        uint32_t route, int64_t now_us);
 
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -10,11 +10,13 @@
 #include "emu_queue.h"
 #include "emu.h"
 #include "lav/admission.h"
+#include "lav/chain_level.h"
 #include "lav/downstream.h"
 #include "lav/target_queue.h"
 #include "lav/instance.h"
 #include "lav/shedder.h"
 #include "lav/overload.h"
+#include "lav/retry_budget.h"
 
 #define EMU_RUNS_MAX 4096 /* calls queued or running at one target */
 #define EMU_HOP_US 500    /* one-way latency between nodes */
@@ -42,6 +44,7 @@
     int caller_retries;     /* times that its caller has sent it again */
     int64_t run_start_us;   /* start of its execution; 0: not running */
     int reroutes;
+    int resends;   /* after refusals by targets */
     bool executed; /* a target has run a part of it */
     bool finished; /* replied to, or timed out */
     bool ok;       /* success, in the reply that is under way */
@@ -63,6 +66,8 @@
     shedder_state *shedder;
     admission_queue *admission;
     overload_meter overload;
+    chain_level_meter chains;
+    retry_budget_window budgets[EMU_SERVICES_MAX]; /* by service called */
     double mean_call_us; /* moving average of execution times */
     service_level_table levels;
     emu_job *jobs[EMU_RUNS_MAX];
--- a/lab/emu_report.c
+++ b/lab/emu_report.c
@@ -24,6 +24,10 @@
                         admission_queued_count(node->admission),
                         node->mean_call_us, m->now_us),
         0};
+    if (m->opts->whole) {
+        own.factor = MAX(own.factor, chain_level_factor(&node->chains,
+                                                        m->opts->retry_ratio));
+    }
     return downstream_chain_overload(node->downstream, emu_hash(kind), &own,
                                      m->now_us);
 }
@@ -79,6 +83,7 @@
                              &chain_overload, m->now_us);
     if (!downstream_is_internal(from->downstream, emu_hash(job->kind))) {
         shedder_record_report(from->shedder, emu_hash(job->kind),
-                              &chain_overload, m->now_us);
+                              emu_hash(at->service), &chain_overload,
+                              m->now_us);
     }
 }
--- a/src/core/downstream.c
+++ b/src/core/downstream.c
@@ -10,7 +10,9 @@
     origin_counts origins;
     enum origin_kind origin;
     double failure_share; /* share of failed runs, moving average */
+    int ended;            /* runs, at most DOWNSTREAM_SPARED_RUNS_MIN */
     int64_t depends_until_us;
+    int64_t spared_until_us; /* until then it is seen not to depend */
     /* Of the requests that this node forwarded. */
     bool classified;       /* an origin was reported */
     double internal_share; /* of the recent reports, moving average */
@@ -22,6 +24,7 @@
     GHashTable *routes; /* route key -> downstream_route */
     call_rate_table calls;
     call_demand demand;
+    bool whole; /* requests are admitted by what their chains need */
 };
 
 /* Creates an empty table.  ERR_NO_MEMORY if memory is exhausted. */
@@ -48,6 +51,16 @@
     }
 }
 
+/* Sets whether requests are admitted by what their whole chains need.  Then
+ * routes that don't depend on an overloaded service are told apart by their
+ * success as well: the fit alone errs where the load of all routes swings
+ * alike. */
+void
+downstream_set_whole(downstream_table *table, bool whole)
+{
+    table->whole = whole;
+}
+
 /* Returns the entry of a route; NULL if it has none. */
 static downstream_route *
 downstream_find(const downstream_table *table, uint32_t route)
@@ -190,22 +203,38 @@
     return cost_us;
 }
 
-/* Whether runs of any route fail more often than by chance. */
+/* Whether the share of failed runs of any route exceeds `share`. */
 static bool
-downstream_is_any_failing(const downstream_table *table)
+downstream_is_any_failing(const downstream_table *table, double share)
 {
     GHashTableIter iter;
     gpointer value = NULL;
     g_hash_table_iter_init(&iter, table->routes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const downstream_route *entry = value;
-        if (entry->failure_share > DOWNSTREAM_FAILURE_SHARE_MIN) {
+        if (entry->failure_share > share) {
             return true;
         }
     }
     return false;
 }
 
+/* Notes that a route succeeds while others fail, or that it doesn't. */
+static void
+downstream_update_spared(const downstream_table *table,
+                         downstream_route *entry, int64_t now_us)
+{
+    entry->ended = MIN(entry->ended + 1, DOWNSTREAM_SPARED_RUNS_MIN);
+    if (entry->failure_share > DOWNSTREAM_FAILURE_SHARE_MIN) {
+        entry->spared_until_us = 0;
+    }
+    else if (table->whole && entry->ended == DOWNSTREAM_SPARED_RUNS_MIN &&
+             downstream_is_any_failing(table,
+                                       DOWNSTREAM_SPARED_FAILURE_SHARE_MIN)) {
+        entry->spared_until_us = now_us + DOWNSTREAM_DEPENDENCY_TTL_US;
+    }
+}
+
 /* Records the end of a run at the target of this node.  A failure while a
  * downstream service is overloaded shows that the route depends on it. */
 void
@@ -220,9 +249,11 @@
             DOWNSTREAM_OVERLOAD_FACTOR_MIN) {
         entry->depends_until_us = now_us + DOWNSTREAM_DEPENDENCY_TTL_US;
     }
-    bool usual = !downstream_is_any_failing(table) &&
-                 downstream_worst_callee(table, now_us).factor <
-                     DOWNSTREAM_BUSY_FACTOR_MIN;
+    downstream_update_spared(table, entry, now_us);
+    bool usual =
+        !downstream_is_any_failing(table, DOWNSTREAM_FAILURE_SHARE_MIN) &&
+        downstream_worst_callee(table, now_us).factor <
+            DOWNSTREAM_BUSY_FACTOR_MIN;
     call_rate_set_paused(&table->calls, !usual, now_us);
 }
 
@@ -272,10 +303,11 @@
 {
     const downstream_route *entry = downstream_find(table, route);
     bool failed = entry != NULL && now_us <= entry->depends_until_us;
+    bool spared = entry != NULL && now_us <= entry->spared_until_us;
     downstream_overload below =
         failed ? downstream_worst_callee(table, now_us)
                : downstream_worst_callee_of(table, route, now_us);
-    if (below.factor > own->factor) {
+    if (!spared && below.factor > own->factor) {
         below.cost_us =
             downstream_cost_us(table, route, below.service, now_us);
         return below;
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -26,6 +26,13 @@
     window->options.first_start = first_start;
 }
 
+/* Sets whether the retries are spread over the window. */
+void
+retry_budget_set_paced(retry_budget_window *window, bool paced)
+{
+    window->paced = paced;
+}
+
 /* Returns the index of a slice in the ring. */
 static int
 retry_budget_index(int64_t slice)
@@ -178,13 +185,23 @@
     return usage.used < usage.allowed * RETRY_BUDGET_INHERITED_RATIO;
 }
 
+/* Whether the current slice has used its part of a paced budget. */
+static bool
+retry_budget_is_ahead(const retry_budget_window *window,
+                      const retry_budget_usage *usage)
+{
+    double part = usage->allowed * RETRY_BUDGET_PACE / RETRY_BUDGET_SLICES;
+    return window->paced && retry_budget_retries(window, 0) + 1 > MAX(part, 1);
+}
+
 /* Whether one more retry may be sent; counts it if so. */
 bool
 retry_budget_take(retry_budget_window *window, int64_t now_us)
 {
     retry_budget_advance(window, now_us);
     retry_budget_usage usage = retry_budget_get_usage(window);
-    if (usage.used + 1 > usage.allowed) {
+    if (usage.used + 1 > usage.allowed ||
+        retry_budget_is_ahead(window, &usage)) {
         window->totals.denied++;
         return false;
     }
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -186,6 +186,21 @@
                known->shortest_us * ROUTING_MIXED_OBJECTIVE_RATIO;
 }
 
+/* Whether any service takes long requests beside calls that are urgent. */
+bool
+routing_has_mixed_work(const routing_table *table)
+{
+    GHashTableIter iter;
+    gpointer service = NULL;
+    g_hash_table_iter_init(&iter, table->objectives);
+    while (g_hash_table_iter_next(&iter, &service, NULL)) {
+        if (routing_serves_mixed_work(table, service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Orders routes by descending prefix length. */
 static gint
 routing_compare_prefix_length(gconstpointer a, gconstpointer b)
--- a/src/core/shedder.c
+++ b/src/core/shedder.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <stdlib.h>
 
+#include "lav/chain_level.h"
 #include "lav/err.h"
 
 typedef struct shedder_class {
@@ -16,10 +17,13 @@
 typedef struct shedder_route {
     int service;    /* index in the services */
     double cost_us; /* slot time that a request takes there */
+    bool direct;    /* the requests run there, and make no calls to it */
+    double agreed;  /* share of the recent reports that name that service */
 } shedder_route;
 
 typedef struct shedder_service {
     uint32_t service;
+    double floor; /* fraction of the level reserved for each priority */
     double level; /* that the shares are divided by; 1: all are admitted */
     int64_t updated_at_us;
     shedder_class classes[SHEDDER_PRIORITIES_MAX]; /* highest priority first */
@@ -30,6 +34,7 @@
     const service_level_table *levels;
     shedder_service services[SHEDDER_SERVICES_MAX];
     int count;
+    bool whole;         /* requests are admitted by their whole chains */
     GHashTable *routes; /* route key -> shedder_route */
     GRand *random;
 };
@@ -52,6 +57,14 @@
     return 0;
 }
 
+/* Sets whether requests are admitted by what their whole chains need.  Then a
+ * route is no longer limited by a service that its reports cease to name. */
+void
+shedder_set_whole(shedder_state *state, bool whole)
+{
+    state->whole = whole;
+}
+
 /* Frees the shedder; NULL is allowed. */
 void
 shedder_free(shedder_state *state)
@@ -78,17 +91,19 @@
 /* Returns the entry of a service, a new one if needed; it replaces an entry
  * that admits everything when the table is full.  NULL if there is none. */
 static shedder_service *
-shedder_get(shedder_state *state, uint32_t service)
+shedder_get(shedder_state *state, uint32_t service, double floor)
 {
     shedder_service *entry = shedder_find(state, service);
     if (entry == NULL && state->count < SHEDDER_SERVICES_MAX) {
         entry = &state->services[state->count++];
-        *entry = (shedder_service){.service = service, .level = 1};
+        *entry =
+            (shedder_service){.service = service, .floor = floor, .level = 1};
     }
     for (int i = 0; entry == NULL && i < state->count; i++) {
         if (state->services[i].level >= 1) {
             entry = &state->services[i];
-            *entry = (shedder_service){.service = service, .level = 1};
+            *entry = (shedder_service){
+                .service = service, .floor = floor, .level = 1};
         }
     }
     return entry;
@@ -111,11 +126,10 @@
     for (int i = 0; i < entry->class_count; i++) {
         total += entry->classes[i].cost_us;
     }
-    double remaining = total * entry->level * (1 - SHEDDER_PRIORITY_SHARE_MIN);
+    double remaining = total * entry->level * (1 - entry->floor);
     for (int i = 0; i < entry->class_count; i++) {
         shedder_class *class = &entry->classes[i];
-        double floor =
-            class->cost_us * entry->level * SHEDDER_PRIORITY_SHARE_MIN;
+        double floor = class->cost_us * entry->level * entry->floor;
         double extra = MIN(class->cost_us - floor, remaining);
         remaining -= extra;
         class->share =
@@ -141,16 +155,30 @@
     }
 }
 
+/* Returns the lower one of the levels of a service and of the chains that call
+ * it. */
+static double
+shedder_get_lowest(const shedder_state *state, uint32_t service,
+                   int64_t now_us)
+{
+    return MIN(
+        service_level_get(state->levels, service, now_us),
+        service_level_get(state->levels, chain_level_key(service), now_us));
+}
+
 /* Records the overload on the call chain of a route, as reported by a
- * response: its service is the one that limits the route. */
+ * response: its service is the one that limits the route.  `runs_at` is the
+ * service that the requests are sent to. */
 void
-shedder_record_report(shedder_state *state, uint32_t route,
+shedder_record_report(shedder_state *state, uint32_t route, uint32_t runs_at,
                       const downstream_overload *chain_overload,
                       int64_t now_us)
 {
+    bool direct = runs_at == chain_overload->service;
     const shedder_service *entry =
         chain_overload->service != 0
-            ? shedder_get(state, chain_overload->service)
+            ? shedder_get(state, chain_overload->service,
+                          SHEDDER_PRIORITY_SHARE_MIN)
             : NULL;
     if (entry == NULL) {
         return;
@@ -160,8 +188,12 @@
     if (known == NULL) {
         known = g_new0(shedder_route, 1);
         known->service = index;
+        known->direct = direct;
+        known->agreed = 1;
         g_hash_table_insert(state->routes, GUINT_TO_POINTER(route), known);
     }
+    known->agreed += ((known->service == index ? 1 : 0) - known->agreed) *
+                     SHEDDER_AGREED_WEIGHT;
     if (known->service == index) {
         known->cost_us += known->cost_us == 0
                               ? chain_overload->cost_us
@@ -170,9 +202,10 @@
         return;
     }
     uint32_t current = state->services[known->service].service;
-    if (service_level_get(state->levels, current, now_us) >=
-        service_level_get(state->levels, entry->service, now_us)) {
-        *known = (shedder_route){index, chain_overload->cost_us};
+    if ((state->whole && known->agreed < SHEDDER_AGREED_MIN) ||
+        shedder_get_lowest(state, current, now_us) >=
+            shedder_get_lowest(state, entry->service, now_us)) {
+        *known = (shedder_route){index, chain_overload->cost_us, direct, 1};
     }
 }
 
@@ -206,18 +239,14 @@
     return &entry->classes[index];
 }
 
-/* Whether to admit an external request. */
-bool
-shedder_admit(shedder_state *state, uint32_t route, int priority,
-              int64_t now_us)
+/* Whether the level of a service, or of the chains that call one, admits a
+ * request. */
+static bool
+shedder_admit_at(const shedder_state *state, shedder_service *entry,
+                 int priority, double cost_us, int64_t now_us)
 {
-    const shedder_route *known = shedder_find_route(state, route);
-    if (known == NULL) {
-        return true;
-    }
-    shedder_service *entry = &state->services[known->service];
     shedder_class *class = shedder_get_class(state, entry, priority);
-    class->cost_us += MAX(known->cost_us, SHEDDER_COST_MIN_US);
+    class->cost_us += MAX(cost_us, SHEDDER_COST_MIN_US);
     shedder_update_level(state, entry, now_us);
     if (entry->level >= 1) {
         return true;
@@ -230,6 +259,69 @@
     return true;
 }
 
+/* Returns the entry for the chains that call a service; NULL while they are not
+ * limited apart from it. */
+static shedder_service *
+shedder_get_chains(shedder_state *state, uint32_t service, int64_t now_us)
+{
+    uint32_t key = chain_level_key(service);
+    return service_level_age_us(state->levels, key, now_us) < 0
+               ? NULL
+               : shedder_get(state, key, 0);
+}
+
+/* Whether to admit an external request. */
+bool
+shedder_admit(shedder_state *state, uint32_t route, int priority,
+              int64_t now_us)
+{
+    const shedder_route *known = shedder_find_route(state, route);
+    if (known == NULL) {
+        return true;
+    }
+    shedder_service *entry = &state->services[known->service];
+    shedder_service *chains =
+        known->direct ? NULL
+                      : shedder_get_chains(state, entry->service, now_us);
+    return (chains == NULL || shedder_admit_at(state, chains, priority,
+                                               known->cost_us, now_us)) &&
+           shedder_admit_at(state, entry, priority, known->cost_us, now_us);
+}
+
+/* Returns the share of a priority's requests that an entry admits; 1 if there
+ * is none, or it limits nothing. */
+static double
+shedder_class_share(const shedder_service *entry, int priority)
+{
+    if (entry == NULL || entry->level >= 1) {
+        return 1;
+    }
+    for (int i = 0; i < entry->class_count; i++) {
+        if (entry->classes[i].priority == priority) {
+            return entry->classes[i].share;
+        }
+    }
+    return entry->level;
+}
+
+/* Returns the share of a priority's requests on a route that are admitted, as
+ * last divided; 1 where requests are not admitted by their whole chains. */
+double
+shedder_get_share(const shedder_state *state, uint32_t route, int priority)
+{
+    const shedder_route *known = shedder_find_route(state, route);
+    if (known == NULL || !state->whole) {
+        return 1;
+    }
+    const shedder_service *entry = &state->services[known->service];
+    double share = shedder_class_share(entry, priority);
+    if (!known->direct) {
+        share *= shedder_class_share(
+            shedder_find(state, chain_level_key(entry->service)), priority);
+    }
+    return share;
+}
+
 /* Returns the service that limits a route, its level and the age of the report
  * that it follows; no service and 1 if the route is not limited. */
 service_level_report
--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -221,8 +221,9 @@
                                    runtime_member_service(f->n, f->member),
                                    f->response.own_level);
     }
-    runtime_record_overload(f->n, f->r->route, f->response.origin,
-                            &f->response.chain_overload);
+    runtime_record_overload(f->n, f->r->route,
+                            runtime_member_service(f->n, f->member),
+                            f->response.origin, &f->response.chain_overload);
     f->n->last_peer_contact_us = f->n->l->now_us;
     if (f->response.config_version > runtime_config_version(f->n)) {
         peer_sync_fetch_state(f->n, &f->to);
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -290,8 +290,10 @@
     frontend_apply_route(q, head, route);
     if (q->r.depth == 0 && !shedder_admit(s->n->shedder, route->key,
                                           route->priority, s->n->l->now_us)) {
-        q->r.retry_after_us =
-            retry_after_shed_us(q->r.objective_us, runtime_random());
+        q->r.retry_after_us = retry_after_shed_us(
+            q->r.objective_us,
+            shedder_get_share(s->n->shedder, route->key, route->priority),
+            runtime_random());
         frontend_respond_error(q, HTTP_STATUS_SERVICE_UNAVAILABLE,
                                REASON_EARLY_REFUSAL);
         return HTTP_CONN_ACCEPT;
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -36,7 +36,8 @@
         downstream_overload chain_overload =
             local_target_overload(n->local, q->r.route);
         runtime_record_overload(
-            n, q->r.route, downstream_route_origin(n->downstream, q->r.route),
+            n, q->r.route, n->service_hash,
+            downstream_route_origin(n->downstream, q->r.route),
             &chain_overload);
         failure->member = member;
         int result = local_target_start_call(
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -141,6 +141,29 @@
     return overload_level(&t->overload);
 }
 
+/* Whether calls of many requests come to the target beside long requests of
+ * its own, so that chains are admitted apart from those. */
+static bool
+local_target_limits_chains(const local_target *t)
+{
+    return t->n->routes != NULL &&
+           routing_serves_mixed_work(t->n->routes, t->n->settings.service);
+}
+
+/* Counts a call that ended for the level of the chains that come here, and
+ * tells that level. */
+static void
+local_target_count_chains(local_target *t, bool refused)
+{
+    chain_level_count_end(&t->chains, refused);
+    if (chain_level_close_window(&t->chains, t->n->l->now_us) &&
+        local_target_limits_chains(t)) {
+        runtime_merge_target_level(
+            t->n, chain_level_key(t->n->service_hash),
+            chain_level_get(&t->chains, t->n->settings.retry_ratio));
+    }
+}
+
 /* Returns the worst overload on the call chain of a route that runs here. */
 downstream_overload
 local_target_overload(local_target *t, uint32_t route)
@@ -153,6 +176,11 @@
                         admission_queued_count(t->admission), t->call_us,
                         now_us),
         0};
+    if (local_target_limits_chains(t)) {
+        own.factor =
+            MAX(own.factor,
+                chain_level_factor(&t->chains, t->n->settings.retry_ratio));
+    }
     local_target_log_level(t);
     return downstream_chain_overload(t->n->downstream, route, &own, now_us);
 }
@@ -336,6 +364,7 @@
     if (failed) {
         overload_count_failed(&t->overload);
     }
+    local_target_count_chains(t, failed);
     admission_release_slot(t->admission, failed ? -1 : took_us, now_us);
     local_target_end_run(call);
     local_target_call_free(call);
--- a/src/flow/local_target_log.c
+++ b/src/flow/local_target_log.c
@@ -6,6 +6,10 @@
 /* Largest number of lines per second about the admission level. */
 #define LOCAL_TARGET_LEVEL_LINES_PER_S 2
 
+/* Share of the calls that the target refuses or fails, from which on it is
+ * logged though the level limits nothing. */
+#define LOCAL_TARGET_REFUSED_LOGGED_MIN 0.05
+
 /* Logs why a request was refused or failed, with the load figures behind the
  * decision. */
 void
@@ -56,18 +60,20 @@
               admission_queued_count(t->admission), "depth", r->depth);
 }
 
-/* Logs the admission level that the target measures, while it limits requests,
- * and what it follows from. */
+/* Logs the admission level that the target measures, while it limits requests
+ * or the target refuses some, and what it follows from. */
 void
 local_target_log_level(const local_target *t)
 {
     double level = local_target_level(t);
-    if (level >= 1 ||
+    double refused = t->chains.refused_share;
+    if ((level >= 1 && refused < LOCAL_TARGET_REFUSED_LOGGED_MIN) ||
         !log_allow_line("admission_level", LOCAL_TARGET_LEVEL_LINES_PER_S)) {
         return;
     }
-    log_event(LOG_INFO, "admission_level", NULL, "{s:f,s:f,s:f,s:f,s:i,s:i}",
-              "share", level, "demand", t->overload.mean_demand, "capacity",
+    log_event(LOG_INFO, "admission_level", NULL,
+              "{s:f,s:f,s:f,s:f,s:f,s:i,s:i}", "share", level, "refused",
+              refused, "demand", t->overload.mean_demand, "capacity",
               t->overload.mean_capacity, "target",
               OVERLOAD_TARGET_MAX - t->overload.relief, "running",
               admission_in_flight_count(t->admission), "waiting",
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -6,6 +6,7 @@
 #define LAV_LOCAL_TARGET_PRIVATE_H
 
 #include "lav/admission.h"
+#include "lav/chain_level.h"
 #include "lav/clock.h"
 #include "lav/target_queue.h"
 #include "lav/departed_targets.h"
@@ -60,6 +61,7 @@
     bool responded; /* since this start of the node, and of the target */
     admission_queue *admission;
     overload_meter overload;
+    chain_level_meter chains;   /* of requests that make many calls here */
     dispatch_table *dispatches; /* of non-idempotent attempts */
     local_target_call *calls[LOCAL_TARGET_CALLS_MAX];
     int free_handles[LOCAL_TARGET_CALLS_MAX];
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -137,6 +137,9 @@
               (json_int_t)routing_count(routes), "from", source);
     routing_free(n->routes);
     n->routes = routes;
+    n->whole = routing_has_mixed_work(routes);
+    downstream_set_whole(n->downstream, n->whole);
+    shedder_set_whole(n->shedder, n->whole);
     g_free(n->config_text);
     n->config_text = g_strndup(text, length);
     n->config_length = length;
@@ -163,6 +166,7 @@
     }
     retry_budget_set_nodes(budget, instance_count(n->fleet));
     retry_budget_set_first_start(budget, n->first_start);
+    retry_budget_set_paced(budget, n->whole);
     return budget;
 }
 
@@ -203,16 +207,18 @@
 }
 
 /* Records the overload on the call chain of a route, as reported with a
- * response or measured here.  Only routes of external requests are subject to
+ * response or measured here; `runs_at` is the service that was asked.  Only routes of external requests are subject to
  * load shedding. */
 void
-runtime_record_overload(runtime *n, uint32_t route, enum origin_kind origin,
+runtime_record_overload(runtime *n, uint32_t route, uint32_t runs_at,
+                        enum origin_kind origin,
                         const downstream_overload *chain_overload)
 {
     downstream_record_report(n->downstream, route, origin, chain_overload,
                              n->l->now_us);
     if (!downstream_is_internal(n->downstream, route)) {
-        shedder_record_report(n->shedder, route, chain_overload, n->l->now_us);
+        shedder_record_report(n->shedder, route, runs_at, chain_overload,
+                              n->l->now_us);
     }
 }
 
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -68,6 +68,7 @@
         *retry_shares;          /* share of retries in the target's runs */
     shedder_state *shedder;     /* load shedding of external requests */
     service_level_table levels; /* admission levels that it follows */
+    bool whole; /* requests are admitted by what their chains need */
     instance_record self;
     uint32_t service_hash; /* of the name of the local target's service */
     int self_member;       /* in the fleet, or INSTANCE_NONE */
@@ -100,7 +101,7 @@
                           const char *source);
 void runtime_advance_incarnation(runtime *n, uint64_t incarnation);
 void runtime_update_self(runtime *n, const instance_record *record);
-void runtime_record_overload(runtime *n, uint32_t route,
+void runtime_record_overload(runtime *n, uint32_t route, uint32_t runs_at,
                              enum origin_kind origin,
                              const downstream_overload *chain_overload);
 void runtime_merge_target_level(runtime *n, uint32_t service, double level);
