--- a/src/core/instance_pick.c
+++ b/src/core/instance_pick.c
@@ -5,6 +5,16 @@
 #include "instance_private.h"
 #include "lav/id.h"
 
+/* Returns how much a report counts by its age, 0 to 1. */
+static double
+instance_report_weight(const instance_entry *entry, int64_t now_us)
+{
+    int64_t age_us = now_us - entry->reported_at_us;
+    return age_us > INSTANCE_REPORT_MAX_AGE_US
+               ? (double)INSTANCE_REPORT_MAX_AGE_US / (double)age_us
+               : 1;
+}
+
 /* Returns the estimated number of calls at an instance, as a fraction of its
  * limit.  A report older than INSTANCE_REPORT_MAX_AGE_US counts for less, in
  * proportion to its age. */
@@ -13,12 +23,8 @@
 {
     const instance_entry *entry = &table->entries[handle];
     int limit = entry->report.limit > 0 ? entry->report.limit : 1;
-    int64_t age_us = now_us - entry->reported_at_us;
-    double busy = entry->report.busy;
-    if (age_us > INSTANCE_REPORT_MAX_AGE_US) {
-        busy *= (double)INSTANCE_REPORT_MAX_AGE_US / (double)age_us;
-    }
-    busy += entry->sent_since_report;
+    double busy = entry->report.busy * instance_report_weight(entry, now_us) +
+                  entry->sent_since_report;
     return MAX(busy, entry->outstanding) / limit;
 }
 
@@ -68,7 +74,8 @@
                     log2(slower / INSTANCE_SPEED_RATIO_NORMAL);
         }
     }
-    cost += entry->report.failures_permille / 1000.0 * INSTANCE_FAILURE_WEIGHT;
+    cost += entry->report.failures_permille / 1000.0 *
+            INSTANCE_FAILURE_WEIGHT * instance_report_weight(entry, now_us);
     if (entry->report.state == INSTANCE_STOPPING) {
         cost += INSTANCE_STOPPING_COST;
     }
