--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -300,8 +300,10 @@
     if (q->r.depth == 0 &&
         !shedder_admit(n->shedder, q->r.route, q->r.priority,
                        frontend_find_workspace(q), n->l->now_us)) {
-        q->r.retry_after_us =
-            retry_after_shed_us(q->r.objective_us, runtime_random());
+        q->r.retry_after_us = retry_after_shed_us(
+            q->r.objective_us,
+            shedder_get_share(n->shedder, q->r.route, q->r.priority),
+            runtime_random());
         frontend_respond_error(q, HTTP_STATUS_SERVICE_UNAVAILABLE,
                                REASON_EARLY_REFUSAL);
         return;
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -5,6 +5,7 @@
 #ifndef LAV_LOCAL_TARGET_PRIVATE_H
 #define LAV_LOCAL_TARGET_PRIVATE_H
 
+#include "lav/chain_level.h"
 #include "lav/clock.h"
 #include "lav/target_queue.h"
 #include "lav/departed_targets.h"
@@ -61,6 +62,7 @@
     target_queue *queue;
     instance_capacity capacity; /* of targets that tell the host's speed */
     overload_meter overload;
+    chain_level_meter chains;   /* of requests that make many calls here */
     dispatch_table *dispatches; /* of non-idempotent attempts */
     local_target_call *calls[LOCAL_TARGET_CALLS_MAX];
     int free_handles[LOCAL_TARGET_CALLS_MAX];
