--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -164,7 +164,11 @@
     }
     cr_assert_eq(decision, USAGE_OVER_CAP);
     cr_expect_eq(granted, 2 + (int)USAGE_CAP_SLACK);
-    now_us += retry_us;
+    int64_t return_us = now_us + retry_us;
+    for (; now_us < return_us; now_us += CLOCK_US_PER_S / 10) {
+        usage_exchange(share, owner, 1, now_us); /* renews the loan */
+    }
+    now_us = return_us;
     cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
                  USAGE_WAIT);
     usage_exchange(share, owner, 1, now_us);
