--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -234,3 +234,23 @@
     usage_share_free(share);
     usage_owner_free(owner);
 }
+
+Test(usage, an_owner_begins_with_nothing)
+{
+    usage_share *share = NULL;
+    usage_owner *owner = NULL;
+    usage_token token;
+    int64_t retry_us = 0;
+    usage_member self = {SELF, true};
+    int64_t now_us = 2 * CLOCK_US_PER_S;
+    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
+    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
+    usage_share_set_members(share, &self, 1, 0);
+    cr_assert_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
+                 USAGE_WAIT);
+    usage_exchange(share, owner, 1, now_us);
+    cr_expect_eq(usage_share_settle(&token, &retry_us, share, 1, now_us),
+                 USAGE_OVER_CAP);
+    usage_share_free(share);
+    usage_owner_free(owner);
+}
