--- a/src/flow/usage_gate.c
+++ b/src/flow/usage_gate.c
@@ -41,7 +41,7 @@
 
 struct usage_gate {
     runtime *n;
-    ev_timer timer; /* runs while a workspace has a cap */
+    ev_timer timer; /* runs once a workspace had a cap */
     int periods;
     usage_share *share;
     usage_owner *owner;
@@ -451,8 +451,8 @@
     free(gate);
 }
 
-/* A desired state came into force: the caps are kept from now on, or no
- * longer. */
+/* A desired state came into force: if it has a cap, the timer runs from now
+ * on. */
 void
 usage_gate_configure(usage_gate *gate)
 {
@@ -552,12 +552,15 @@
     return usage_message_write_answer(&answer);
 }
 
-/* Writes gauges and counters of the usage caps. */
+/* Writes gauges and counters of the usage caps, if there were any. */
 void
 usage_gate_write_metrics(bytebuf *out, const usage_gate *gate)
 {
     int lent = 0;
     double held = 0;
+    if (!ev_is_active(&gate->timer)) {
+        return;
+    }
     for (int i = 0; i < USAGE_CAP_SLOTS; i++) {
         lent += usage_share_owner(gate->share, i) != 0 ? 1 : 0;
         held += usage_owner_share(gate->owner, i, gate->n->l->now_us);
--- a/src/flow/usage_gate.h
+++ b/src/flow/usage_gate.h
@@ -4,7 +4,7 @@
  * request whose answer is not known here waits for the owner of its slot for
  * some milliseconds, and for a bounded time at most.
  *
- * Nothing is sent, and no timer runs, while no workspace has a cap.
+ * Nothing is sent, and no timer runs, before a workspace has a cap.
  */
 #ifndef LAV_USAGE_GATE_H
 #define LAV_USAGE_GATE_H
--- a/tests/integration/mesh_usage_test.c
+++ b/tests/integration/mesh_usage_test.c
@@ -146,8 +146,8 @@
     cr_expect_gt(over, 0);
     cr_expect_eq(other, 0, "%d", other);
     cr_expect_geq(begun, RATE * 3 * 8 / 10, "%d begun", begun);
-    cr_expect_leq(largest_window(), (int)BOUND, "%d of %d",
-                  largest_window(), begun);
+    cr_expect_leq(largest_window(), (int)BOUND, "%d of %d", largest_window(),
+                  begun);
     cr_expect_eq(call_with_key(0, "key-b", NULL), 200, "it has no cap");
     cr_expect(harness_log_contains(0, "\"reason\":\"over_cap\""));
 }
@@ -216,3 +216,44 @@
     cr_expect_leq(largest_window(), (int)BOUND, "%s: %d in a window", c->name,
                   largest_window());
 }
+
+/* A request that waits for the frozen owner is not sent once its caller has
+ * left, or the time that its caller allows is over. */
+Test(mesh_usage, requests_that_wait_can_end)
+{
+    int owner = find_owner();
+    int node = owner == 1 ? 2 : 1;
+    static const struct {
+        const char *id;
+        const char *lines;
+        bool leaves;
+    } waiting[] = {{"usage-leaves", "", true},
+                   {"usage-late", "Lavenderfield-Deadline-Ms: 50\r\n", false}};
+    cr_assert_geq(owner, 0);
+    call_for(300, owner); /* what was granted ahead is used up */
+    harness_sleep_ms(SETTLE_MS);
+    harness_signal_node(owner, SIGSTOP);
+    for (size_t i = 0; i < COUNT(waiting); i++) {
+        char request[512];
+        int fd = harness_connect(node);
+        int size = snprintf(request, sizeof(request),
+                            "POST /n/ok HTTP/1.1\r\nHost: h.example\r\n"
+                            "Lavenderfield-Attempt-Id: %s\r\n%s"
+                            "Authorization: Bearer key-a\r\n"
+                            "Content-Length: 4\r\n\r\nbody",
+                            waiting[i].id, waiting[i].lines);
+        harness_send(fd, request, (size_t)size);
+        if (!waiting[i].leaves) {
+            harness_response response;
+            harness_read_response(&response, fd);
+            cr_expect_neq(response.status, 200);
+            harness_free_response(&response);
+        }
+        close(fd);
+    }
+    harness_signal_node(owner, SIGCONT);
+    cr_expect(HARNESS_WAIT_FOR(call_with_key(node, "key-a", NULL) == 200));
+    for (size_t i = 0; i < COUNT(waiting); i++) {
+        cr_expect_eq(harness_run_count(waiting[i].id), 0, "%s", waiting[i].id);
+    }
+}
