mesh_flood test: the target is used once it has passed its health check

The heartbeat of a target that may have left before this start of the node is answered with 200 at once, and the target is used when it has passed a health check. The test sent its call right after the heartbeat; on a busy machine it came to the node before the check's answer (logs of a failed run: call refused with "no_target" at .194, target_adopted at .195) and got 503. The test now waits for "target_adopted", as mesh_restart does; the node, and what the test requires of it (flood not adopted, memory, 200 after the next heartbeat), are the same.

--- a/tests/integration/mesh_flood_test.c
+++ b/tests/integration/mesh_flood_test.c
@@ -108,7 +108,7 @@
 }
 
 /* The health check after a restart of the node is answered with a flood; the
- * target is used after its next heartbeat. */
+ * target is used after its next heartbeat, once it has passed a check. */
 Test(mesh_flood, health_checks)
 {
     harness_set_target_health(1, HARNESS_HEALTH_FLOOD, "");
@@ -119,6 +119,7 @@
                  harness_node_peak_kb(1));
     harness_set_target_health(1, 0, "");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_adopted")));
     harness_response response;
     harness_call(&response, 0, "POST", "/n/shed-at-2", "healthy", "", 0);
     cr_expect_eq(response.status, 200, "%d", response.status);
