harness: a request is late if it came late, not if it was read late

But three requests at i-0 and i-3 were cancelled by their nodes after 2.0 s at work that takes 25 ms, all sent within 7 ms. One of the two targets, i-0, left 2 s later: its thread need only have got to run after that. The harness took the time in that thread, after the work of /x/mix. So the request was most likely sent 2.05 s before the acknowledgement; that it was this one can't be shown, as the harness printed neither id nor time.

The harness now takes the kernel's time of arrival of the request's head, and prints id, target and both times of what comes late.

--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -277,7 +277,7 @@
 
 /* Connect to a loopback port; reads time out after 10 s.  Returns -1 when
  * nothing listens there. */
-static int
+int
 harness_connect_port(int port)
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
--- a/tests/integration/harness_io.c
+++ b/tests/integration/harness_io.c
@@ -6,9 +6,11 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "harness_private.h"
+#include "lav/clock.h"
 
 typedef struct harness_listener {
     int fd;
@@ -70,6 +72,8 @@
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPNS, &on,
+               sizeof(on)); /* inherited */
     if (bind(fd, (struct sockaddr *)&at, sizeof(at)) < 0 ||
         listen(fd, 256) < 0) {
         perror("pfr_listen");
@@ -121,12 +125,58 @@
     return true;
 }
 
-/* Read up to and including the empty line after the header fields. */
+/* How long ago the kernel received what a message brought, in us; 0 if it does
+ * not say. */
+static int64_t
+harness_message_age_us(struct msghdr *message)
+{
+    struct timespec at;
+    struct timespec now;
+    for (struct cmsghdr *c = CMSG_FIRSTHDR(message); c != NULL;
+         c = CMSG_NXTHDR(message, c)) {
+        if (c->cmsg_level == SOL_SOCKET && c->cmsg_type == SCM_TIMESTAMPNS) {
+            memcpy(&at, CMSG_DATA(c), sizeof(at));
+            clock_gettime(CLOCK_REALTIME, &now);
+            int64_t age_us = (now.tv_sec - at.tv_sec) * CLOCK_US_PER_S +
+                             (now.tv_nsec - at.tv_nsec) / 1000;
+            return age_us > 0 ? age_us : 0;
+        }
+    }
+    return 0;
+}
+
+/* Read one byte; false when the connection has ended.  `arrived_us`, which may
+ * be NULL, is set to the monotonic time at which it came to the socket: on a
+ * busy machine this thread may read it much later. */
+static bool
+harness_read_byte(int fd, char *out, int64_t *arrived_us)
+{
+    union {
+        struct cmsghdr align;
+        char bytes[CMSG_SPACE(sizeof(struct timespec))];
+    } control;
+    struct iovec part = {out, 1};
+    struct msghdr message = {.msg_iov = &part,
+                             .msg_iovlen = 1,
+                             .msg_control = control.bytes,
+                             .msg_controllen = sizeof(control.bytes)};
+    if (recvmsg(fd, &message, 0) != 1) {
+        return false;
+    }
+    if (arrived_us != NULL) {
+        *arrived_us = clock_now_us() - harness_message_age_us(&message);
+    }
+    return true;
+}
+
+/* Read up to and including the empty line after the header fields;
+ * `arrived_us`, which may be NULL, is set to the time at which that came. */
 static bool
-harness_read_head(int fd, char *out, size_t size)
+harness_read_head(int fd, char *out, size_t size, int64_t *arrived_us)
 {
     size_t length = 0;
-    while (length + 1 < size && harness_read_bytes(fd, out + length, 1)) {
+    while (length + 1 < size &&
+           harness_read_byte(fd, out + length, arrived_us)) {
         out[++length] = '\0';
         if (length >= 4 && strcmp(out + length - 4, "\r\n\r\n") == 0) {
             return true;
@@ -171,7 +221,8 @@
 {
     char value[64];
     out->length = 0;
-    if (!harness_read_head(fd, out->head, sizeof(out->head)) ||
+    if (!harness_read_head(fd, out->head, sizeof(out->head),
+                           &out->arrived_us) ||
         sscanf(out->head, "%15s %511s", out->method, out->path) != 2) {
         return false;
     }
@@ -224,7 +275,7 @@
     char value[64];
     *out = (harness_response){0};
     out->body = malloc(HARNESS_BODY_SIZE_MAX);
-    if (!harness_read_head(fd, out->head, sizeof(out->head)) ||
+    if (!harness_read_head(fd, out->head, sizeof(out->head), NULL) ||
         sscanf(out->head, "HTTP/1.1 %d", &out->status) != 1) {
         out->status = 0;
         return;
--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -21,6 +21,7 @@
     char path[512];
     char *body; /* the reader's buffer of HARNESS_BODY_SIZE_MAX bytes */
     size_t length;
+    int64_t arrived_us; /* monotonic time at which its head came whole */
 } harness_request;
 
 #define HARNESS_PORTS 8 /* of a node, by enum harness_port */
@@ -76,6 +77,7 @@
 void harness_set_target_instance(int node, const char *instance);
 bool harness_flood_runs(const char *name);
 bool harness_send_flood(int fd, const char *name, const char *id);
+int harness_connect_port(int port);
 int harness_request_status(int port, const char *request);
 
 #endif
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -157,6 +157,25 @@
     return named;
 }
 
+/* Count a request that came to a target after its close time, and print it.
+ * That counts from when it came to the socket: the thread that serves it may
+ * run later, and works before it records a request for /x/mix. */
+static void
+harness_check_close_time(const char *id, const harness_request *request,
+                         int node)
+{
+    int64_t late_us = request->arrived_us - harness_target_close_us[node];
+    if (harness_target_close_us[node] == 0 || late_us <= 0) {
+        return;
+    }
+    harness_late_arrivals++;
+    fprintf(stderr,
+            "%s came to the target beside node %d %lld us after its close "
+            "time, and was read %lld us later\n",
+            id, node, (long long)late_us,
+            (long long)(clock_now_us() - request->arrived_us));
+}
+
 /* Record the arrival of a request, executed (`runs` 1) or not (0), or that its
  * connection was closed while it ran (-1). */
 static void
@@ -177,9 +196,7 @@
             strcasestr(request->head, "\r\nLavenderfield-Tenant: ") != NULL;
         harness_key_arrivals +=
             strcasestr(request->head, "\r\nAuthorization:") != NULL;
-        harness_late_arrivals +=
-            harness_target_close_us[node] != 0 &&
-            clock_now_us() > harness_target_close_us[node];
+        harness_check_close_time(id, request, node);
     }
     r->arrivals += runs >= 0;
     r->runs += runs > 0;
--- a/tests/integration/mesh_leaving_test.c
+++ b/tests/integration/mesh_leaving_test.c
@@ -2,7 +2,10 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
+#include "harness_private.h"
 #include "lav/clock.h"
 #include "mesh.h"
 
@@ -134,3 +137,39 @@
         cr_expect_not(harness_log_contains(i, "\"target_leaves\""));
     }
 }
+
+/* Sends the head of a request to the target that leaves, as its node would, and
+ * returns the connection. */
+static int
+send_head_to_target(const char *id)
+{
+    char request[256];
+    int fd =
+        harness_connect_port(harness_nodes[LEAVING].ports[HARNESS_TARGET]);
+    snprintf(request, sizeof(request),
+             "POST /i/ok HTTP/1.1\r\nHost: h.example\r\n"
+             "Lavenderfield-Attempt-Id: %s\r\n"
+             "Lavenderfield-Expected-Instance: %s\r\n"
+             "Content-Length: 1\r\n\r\n",
+             id, harness_nodes[LEAVING].instance);
+    harness_send(fd, request, strlen(request));
+    return fd;
+}
+
+/* What the other tests count as late: a request whose head came in time is not,
+ * even if the target deals with it only after its close time. */
+Test(mesh_leaving, what_counts_as_late)
+{
+    static const char *const ids[] = {"in-time", "late"};
+    for (int late = 0; late < 2; late++) {
+        int fd = send_head_to_target(ids[late]);
+        harness_sleep_ms(100);
+        if (!late) {
+            harness_set_target_close_time(LEAVING, clock_now_us());
+        }
+        harness_send(fd, "b", 1);
+        cr_assert(HARNESS_WAIT_FOR(harness_run_count(ids[late]) == 1));
+        cr_expect_eq(harness_late_arrival_count(), late, "%s", ids[late]);
+        close(fd);
+    }
+}
