overload: demand by slot time where long and short requests mix

Cause: demand and capacity were counted in calls. Where long roots run beside short inner calls and the short ones are refused first, fewer calls are served in the same slot time, the level falls, and requests whose calls are short are refused for it, or, while long ones wait, too many are begun.

Change: at a service that takes mixed work each call counts by the slot time of its route over the mean of all calls, as demand and as served. Elsewhere each counts as one, as before.

--- a/include/lav/downstream.h
+++ b/include/lav/downstream.h
@@ -73,6 +73,7 @@
                           double weight, int64_t now_us);
 void downstream_end_run(downstream_table *table, uint32_t route,
                         int64_t now_us);
+double downstream_run_us(const downstream_table *table, uint32_t route);
 double downstream_record_call(downstream_table *table, uint32_t route,
                               int64_t now_us);
 void downstream_record_end(downstream_table *table, uint32_t route,
--- a/include/lav/overload.h
+++ b/include/lav/overload.h
@@ -53,11 +53,12 @@
 #define OVERLOAD_FACTOR_MAX 4.0
 
 typedef struct overload_meter {
-    int64_t since_us; /* start of the window */
-    int arrivals;     /* calls offered in the window, each counted once */
-    int served;       /* calls that ended in the window */
-    int waiting;      /* calls waiting at its start */
-    int held_up;      /* calls that waited or were refused in the window */
+    int64_t since_us;    /* start of the window */
+    int arrivals;        /* calls offered in the window, each counted once */
+    int served;          /* calls that ended in the window */
+    double served_share; /* the same, by the slot time of each */
+    int waiting;         /* calls waiting at its start */
+    int held_up;         /* calls that waited or were refused in the window */
     double factor; /* demand per call served; below 1: share of busy slots */
     int lost;      /* calls refused, or given up after a wait, in the window */
     int failed;    /* calls that the target refused or failed by itself */
@@ -68,7 +69,7 @@
 } overload_meter;
 
 void overload_count_arrival(overload_meter *meter, double weight);
-void overload_count_end(overload_meter *meter);
+void overload_count_end(overload_meter *meter, double time_share);
 void overload_count_held_up(overload_meter *meter);
 void overload_count_lost(overload_meter *meter);
 void overload_count_failed(overload_meter *meter);
--- a/lab/emu.c
+++ b/lab/emu.c
@@ -200,6 +200,17 @@
 
 static void emu_dispatch_queued(emu *m, int index);
 
+/* Returns the slot time that a call takes, relative to the mean of all calls at
+ * the target, where long and short ones mix; 1 elsewhere. */
+static double
+emu_time_share(const emu_node *node, const emu_job *job)
+{
+    double run_us = downstream_run_us(node->downstream, emu_hash(job->kind));
+    return node->mixed && run_us > 0 && node->mean_call_us > 0
+               ? run_us / node->mean_call_us
+               : 1;
+}
+
 /* Counts a call that ended at a target for the level of the chains. */
 static void
 emu_count_chains(const emu *m, emu_node *node, bool refused)
@@ -228,7 +239,7 @@
                 ? (double)took_us
                 : ((double)took_us - node->mean_call_us) * EMU_MEAN_WEIGHT;
     }
-    overload_count_end(&node->overload);
+    overload_count_end(&node->overload, emu_time_share(node, job));
     emu_count_chains(m, node, false);
     downstream_record_end(node->downstream, emu_hash(job->kind), !ok,
                           m->now_us);
@@ -276,7 +287,7 @@
 static void
 emu_refuse_at_target(emu *m, emu_node *node, emu_job *job)
 {
-    overload_count_end(&node->overload);
+    overload_count_end(&node->overload, emu_time_share(node, job));
     overload_count_failed(&node->overload);
     emu_count_chains(m, node, true);
     admission_release_slot(node->admission, -1, m->now_us);
@@ -352,7 +363,8 @@
                               emu_hash(m->nodes[job->from].service),
                               emu_service_node_share, m);
     if (job->reroutes == 0) {
-        overload_count_arrival(&node->overload, job->weight);
+        overload_count_arrival(&node->overload,
+                               job->weight * emu_time_share(node, job));
     }
     target_queue_request request = {
         .handle = handle,
--- a/lab/emu_private.h
+++ b/lab/emu_private.h
@@ -71,6 +71,7 @@
     double mean_call_us; /* moving average of execution times */
     service_level_table levels;
     emu_job *jobs[EMU_RUNS_MAX];
+    bool mixed;    /* long requests run here beside urgent ones */
     bool expiring; /* EMU_EXPIRE_QUEUED is scheduled */
 } emu_node;
 
--- a/lab/emu_report.c
+++ b/lab/emu_report.c
@@ -24,7 +24,7 @@
                         admission_queued_count(node->admission),
                         node->mean_call_us, m->now_us),
         0};
-    if (m->opts->whole) {
+    if (node->mixed) {
         own.factor = MAX(own.factor, chain_level_factor(&node->chains,
                                                         m->opts->retry_ratio));
     }
--- a/lab/emu_run.c
+++ b/lab/emu_run.c
@@ -3,9 +3,27 @@
 
 #include "emu_private.h"
 #include "lav/clock.h"
+#include "lav/routing.h"
 
 #define EMU_WINDOW_US 10000000 /* of the retry budgets, 10 s */
 
+/* Whether long requests run at a service beside urgent ones, as in
+ * routing_serves_mixed_work(). */
+static bool
+emu_is_mixed(const emu *m, int service)
+{
+    int64_t longest_us = 0;
+    int64_t shortest_us = INT64_MAX;
+    for (int k = 0; k < m->opts->kind_count; k++) {
+        if (m->opts->kinds[k].service == service) {
+            longest_us = MAX(longest_us, m->opts->kinds[k].objective_us);
+            shortest_us = MIN(shortest_us, m->opts->kinds[k].objective_us);
+        }
+    }
+    return longest_us >= ROUTING_LONG_OBJECTIVE_US &&
+           longest_us >= shortest_us * ROUTING_MIXED_OBJECTIVE_RATIO;
+}
+
 /* Sets up a node; `index` counts the instances of its service. */
 static void
 emu_node_init(emu *m, emu_node *node, int index, int service)
@@ -24,6 +42,7 @@
     downstream_new(&node->downstream);
     shedder_new(&node->shedder, &node->levels,
                 m->opts->seed + (uint64_t)(node - m->nodes));
+    node->mixed = m->opts->whole && emu_is_mixed(m, service);
     downstream_set_whole(node->downstream, m->opts->whole);
     shedder_set_whole(node->shedder, m->opts->whole);
     retry_budget_options budget = {
--- a/src/core/downstream.c
+++ b/src/core/downstream.c
@@ -129,6 +129,14 @@
     call_rate_end_run(&table->calls, route, now_us);
 }
 
+/* Returns how long a run of a route takes at the target on average, in us; 0
+ * if it is not known. */
+double
+downstream_run_us(const downstream_table *table, uint32_t route)
+{
+    return call_rate_run_us(&table->calls, route);
+}
+
 /* Records an internal request that the target of this node makes.  Returns the
  * demand that it stands for. */
 double
--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -14,11 +14,13 @@
     meter->demand += weight;
 }
 
-/* Counts a call that ended at the target. */
+/* Counts a call that ended at the target; `time_share` is the slot time that
+ * its kind takes, relative to the mean of all calls. */
 void
-overload_count_end(overload_meter *meter)
+overload_count_end(overload_meter *meter, double time_share)
 {
     meter->served++;
+    meter->served_share += time_share;
 }
 
 /* Counts a call that had to wait, or was refused for lack of a slot. */
@@ -99,7 +101,7 @@
 overload_average_window(overload_meter *meter, int limit, double call_us,
                         int64_t window_us)
 {
-    double capacity = MAX(meter->served, 1);
+    double capacity = MAX(meter->served_share, 1);
     double demand =
         overload_is_failing(meter) ? meter->arrivals : meter->demand;
     if (overload_is_full(meter)) {
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -200,8 +200,11 @@
 {
     retry_budget_advance(window, now_us);
     retry_budget_usage usage = retry_budget_get_usage(window);
-    if (usage.used + 1 > usage.allowed ||
-        retry_budget_is_ahead(window, &usage)) {
+    if (usage.used + 1 > usage.allowed) {
+        window->totals.denied++;
+        return false;
+    }
+    if (retry_budget_is_ahead(window, &usage)) {
         window->totals.denied++;
         return false;
     }
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -150,6 +150,17 @@
            routing_serves_mixed_work(t->n->routes, t->n->settings.service);
 }
 
+/* Returns the slot time that a request takes, relative to the mean of all
+ * calls, where long and short ones mix; 1 elsewhere. */
+static double
+local_target_time_share(const local_target *t, const attempt_request *r)
+{
+    double run_us = downstream_run_us(t->n->downstream, r->route);
+    return local_target_limits_chains(t) && run_us > 0 && t->call_us > 0
+               ? run_us / t->call_us
+               : 1;
+}
+
 /* Counts a call that ended for the level of the chains that come here, and
  * tells that level. */
 static void
@@ -280,7 +291,8 @@
     downstream_record_arrival(t->n->downstream, r->route, r->origin,
                               runtime_service_share, t->n);
     if (!r->rerouted) {
-        overload_count_arrival(&t->overload, r->weight);
+        overload_count_arrival(&t->overload,
+                               r->weight * local_target_time_share(t, r));
     }
     target_queue_request request = {.handle = call->handle,
                                     .rank = id_rank(r->id),
@@ -360,7 +372,7 @@
                                       : ((double)took_us - t->call_us) *
                                             LOCAL_TARGET_CALL_TIME_WEIGHT;
     }
-    overload_count_end(&t->overload);
+    overload_count_end(&t->overload, local_target_time_share(t, call->r));
     if (failed) {
         overload_count_failed(&t->overload);
     }
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -272,6 +272,27 @@
     }
 }
 
+/* An instance that has failed calls gets others again after a while, though
+ * nothing more was heard of it. */
+Test(flow, failures_reported_long_ago_count_for_less)
+{
+    instance_table *fleet = NULL;
+    instance_query choice = {.service = "s", .zone = "here"};
+    instance_record records[] = {member("n0", "here"), member("n1", "here")};
+    instance_load_report failing = {0, 10, 550, INSTANCE_READY, 0, {0}, false};
+    instance_load_report busy = {6, 10, 0, INSTANCE_READY, 0, {0}, false};
+    int64_t later = 20 * INSTANCE_REPORT_MAX_AGE_US;
+    cr_assert_eq(instance_new(&fleet, 1), 0);
+    cr_assert(instance_update(fleet, &records[0]) &&
+              instance_update(fleet, &records[1]));
+    instance_set_load(fleet, 0, &failing, 1000);
+    instance_set_load(fleet, 1, &busy, 1000);
+    cr_expect_eq(instance_pick(fleet, &choice, 1000), 1);
+    instance_set_load(fleet, 1, &busy, later);
+    cr_expect_eq(instance_pick(fleet, &choice, later), 0);
+    instance_free(fleet);
+}
+
 /* An unreachable instance is chosen only if there is no other, without time
  * limit, until a probe has reached its node. */
 Test(flow, a_lost_instance_waits_until_it_is_found)
--- a/tests/unit/level_test.c
+++ b/tests/unit/level_test.c
@@ -268,7 +268,7 @@
             }
         }
         for (int i = 0; i < served; i++) {
-            overload_count_end(&meter);
+            overload_count_end(&meter, 1);
             if (i < served * failing) {
                 overload_count_failed(&meter);
             }
@@ -309,6 +309,35 @@
     }
 }
 
+/* A quarter of the calls takes 25 ms, the others 5 ms; the long ones are served
+ * and the short ones refused.  Counted, half of the demand is served; by slot time
+ * more than that. */
+Test(level, demand_is_measured_by_slot_time)
+{
+    for (int by_time = 0; by_time <= 1; by_time++) {
+        overload_meter meter = {0};
+        int64_t now = CLOCK_US_PER_S;
+        overload_factor(&meter, 0, 10, 0, 0, now);
+        for (int window = 0; window < 30; window++) {
+            for (int i = 0; i < 100; i++) {
+                double share = by_time ? (i < 25 ? 2.5 : 0.5) : 1;
+                overload_count_arrival(&meter, share);
+                if (i < 50) {
+                    overload_count_end(&meter, share);
+                }
+                else {
+                    overload_count_held_up(&meter);
+                    overload_count_lost(&meter);
+                }
+            }
+            now += OVERLOAD_WINDOW_US;
+            overload_factor(&meter, 10, 10, 0, 10 * MS, now);
+        }
+        double level = overload_level(&meter);
+        cr_expect_float_eq(level, by_time ? 0.56 : 0.375, 0.01, "%.3f", level);
+    }
+}
+
 /* Without a call that has ended, nothing is known of the capacity. */
 Test(level, a_target_that_has_just_started_limits_nothing)
 {
