--- a/tests/unit/emu_file_test.c
+++ b/tests/unit/emu_file_test.c
@@ -17,8 +17,8 @@
 {
     static emu_file f;
     err e = ERR_INIT;
-    cr_assert_eq(emu_file_load(&f, EMU_FILE_EXAMPLES "/burst.toml", &e), 0, "%s",
-                 e.message);
+    cr_assert_eq(emu_file_load(&f, EMU_FILE_EXAMPLES "/burst.toml", &e), 0,
+                 "%s", e.message);
     cr_expect_str_eq(f.name, "burst");
     cr_expect_eq(f.opts.service_count, 4);
     cr_expect_eq(f.opts.kind_count, 7);
