harness: connections are served by threads that run already

The stand-ins of targets and store started a thread for each connection. Threads now take one connection after the other, and 16 are kept to spare.

--- a/tests/integration/harness_io.c
+++ b/tests/integration/harness_io.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <glib.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,21 +19,73 @@
     harness_serve_cb serve;
 } harness_listener;
 
-/* Thread of one connection. */
+/* Threads kept for connections to come.  On a busy machine a new thread may wait
+ * for seconds until it runs, which must not hold up a request. */
+#define HARNESS_SPARE_THREADS 16
+
+/* Accepted connections that no thread serves yet. */
+static GQueue harness_accepted = G_QUEUE_INIT;
+static guint harness_free_threads; /* start, or wait for a connection */
+static pthread_mutex_t harness_accepted_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t harness_accepted_cond = PTHREAD_COND_INITIALIZER;
+
+/* The next accepted connection; waits for one. */
+static harness_listener *
+harness_take_connection(void)
+{
+    pthread_mutex_lock(&harness_accepted_lock);
+    while (g_queue_is_empty(&harness_accepted)) {
+        pthread_cond_wait(&harness_accepted_cond, &harness_accepted_lock);
+    }
+    harness_free_threads--;
+    harness_listener *c = g_queue_pop_head(&harness_accepted);
+    pthread_mutex_unlock(&harness_accepted_lock);
+    return c;
+}
+
+/* Thread that serves connections, one after the other. */
 static void *
 harness_connection_main(void *payload)
 {
-    harness_listener *l = payload;
-    l->serve(l->fd, l->index);
-    close(l->fd);
-    free(l);
-    return NULL;
+    for (;;) {
+        harness_listener *c = harness_take_connection();
+        c->serve(c->fd, c->index);
+        close(c->fd);
+        free(c);
+        pthread_mutex_lock(&harness_accepted_lock);
+        harness_free_threads++;
+        pthread_mutex_unlock(&harness_accepted_lock);
+    }
+    return payload;
 }
 
-/* Thread of a listener: accepts connections until the descriptor is closed,
- * and starts a thread for each.  Aborts when the process is out of
- * descriptors or threads, since the test would then measure the harness
- * instead of the nodes. */
+/* Have a connection served by the first thread that is free, and start threads
+ * if too few are. */
+static void
+harness_add_connection(harness_listener *c)
+{
+    pthread_mutex_lock(&harness_accepted_lock);
+    g_queue_push_tail(&harness_accepted, c);
+    guint wanted = harness_accepted.length + HARNESS_SPARE_THREADS;
+    guint missing =
+        wanted > harness_free_threads ? wanted - harness_free_threads : 0;
+    harness_free_threads += missing;
+    pthread_cond_signal(&harness_accepted_cond);
+    pthread_mutex_unlock(&harness_accepted_lock);
+    for (guint i = 0; i < missing; i++) {
+        pthread_t thread;
+        if (pthread_create(&thread, NULL, harness_connection_main, NULL) !=
+            0) {
+            fprintf(stderr, "harness: no thread for this connection\n");
+            abort();
+        }
+        pthread_detach(thread);
+    }
+}
+
+/* Thread of a listener: accepts connections until the descriptor is closed.
+ * Aborts when the process is out of descriptors or threads, since the test
+ * would then measure the harness instead of the nodes. */
 static void *
 harness_accept_main(void *payload)
 {
@@ -51,17 +104,12 @@
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         harness_listener *c = malloc(sizeof(*c));
         *c = (harness_listener){fd, l->index, l->serve};
-        pthread_t thread;
-        if (pthread_create(&thread, NULL, harness_connection_main, c) != 0) {
-            fprintf(stderr, "harness: no thread for this connection\n");
-            abort();
-        }
-        pthread_detach(thread);
+        harness_add_connection(c);
     }
 }
 
-/* Listen on a loopback port and serve each connection with `serve` in a
- * thread of its own; `index` is passed to it.  Returns the listening
+/* Listen on a loopback port and serve each connection with `serve`, at the same
+ * time as all others; `index` is passed to it.  Returns the listening
  * descriptor; shutting it down ends the listener. */
 int
 harness_listen(int port, int index, harness_serve_cb serve)
