--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -152,7 +152,7 @@
 
 /* Whether calls of many requests come to the target beside long requests of
  * its own, so that chains are admitted apart from those. */
-static bool
+bool
 local_target_limits_chains(const local_target *t)
 {
     return t->n->routes != NULL &&
--- a/src/flow/local_target_log.c
+++ b/src/flow/local_target_log.c
@@ -77,14 +77,17 @@
               target_queue_queued_count(t->queue), "depth", r->depth);
 }
 
-/* Logs the admission level that the target measures, while it limits requests
- * or the target refuses some, and what it follows from. */
+/* Logs the admission level that the target measures, while it limits requests,
+ * or the target refuses some on which chains depend, and what it follows
+ * from. */
 void
 local_target_log_level(const local_target *t)
 {
     double level = local_target_level(t);
     double refused = t->chains.refused_share;
-    if ((level >= 1 && refused < LOCAL_TARGET_REFUSED_LOGGED_MIN) ||
+    bool breaks_chains = refused >= LOCAL_TARGET_REFUSED_LOGGED_MIN &&
+                         local_target_limits_chains(t);
+    if ((level >= 1 && !breaks_chains) ||
         !log_allow_line("admission_level", LOCAL_TARGET_LEVEL_LINES_PER_S)) {
         return;
     }
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -113,6 +113,7 @@
 void local_target_update_rate(local_target *t, const http_head *head);
 void local_target_update_leaving(local_target *t, const http_head *head);
 void local_target_update_load(local_target *t, const http_head *head);
+bool local_target_limits_chains(const local_target *t);
 void local_target_log_level(const local_target *t);
 void local_target_log_capacity(const local_target *t, int limit, int before);
 void local_target_log_cancel(const local_target_call *call);
