--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -9,10 +9,9 @@
  * could not be reached, or that is not the one on record, receives no call
  * until its node has answered a probe.
  *
- * Where instances tell what a call takes now (instance_capacity), the cost of
- * load grows with its square and that of another zone is small: at low load
- * calls go to the faster instances of the zone, at high load to those with
- * room, so that shares follow speeds.
+ * Where instances tell what a call takes now (instance_capacity), the costs of
+ * another zone and of a slower instance are small: calls go to the instances
+ * with room, so that shares follow speeds.
  */
 #ifndef LAV_INSTANCE_H
 #define LAV_INSTANCE_H
--- a/lab/emu.h
+++ b/lab/emu.h
@@ -42,7 +42,8 @@
     int64_t wait_max_us; /* total time for which such a caller retries */
 } emu_kind;
 
-/* A load surge, slow instances, targets that refuse calls, or all, from `from_s` for `duration_s`. */
+/* A load surge, slow instances, targets that refuse calls, or all of these, from
+ * `from_s` for `duration_s`. */
 typedef struct emu_disruption {
     double from_s;
     double duration_s;
--- a/src/core/usage_owner.c
+++ b/src/core/usage_owner.c
@@ -239,7 +239,8 @@
 }
 
 /* Returns the bucket of a workspace, filled up to now, with its cap as of the
- * desired state in force; a new one was empty when the shares last fell.  NULL if `entry` is, or if there are too many. */
+ * desired state in force; a new one was empty when the shares last fell.  NULL
+ * if `entry` is NULL or there are too many. */
 static usage_owner_bucket *
 usage_owner_get_bucket(usage_owner *owner, usage_owner_slot *slot,
                        const workspace *entry)
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -93,9 +93,9 @@
     server_conn_end_response(s);
 }
 
-/* Responds with an error of the node itself.  A 503 or 429 states that the request
- * has not run and never will, and carries Retry-After.  Nor has a request run
- * that gets a 401. */
+/* Responds with an error of the node itself.  A 503 or 429 states that the
+ * request has not run and never will, and carries Retry-After.  Nor has a
+ * request run that gets a 401. */
 void
 frontend_respond_error(frontend_request *q, int status, enum reason reason)
 {
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -246,8 +246,8 @@
 }
 
 /* Records the overload on the call chain of a route, as reported with a
- * response or measured here; `runs_at` is the service that was asked.  Only routes of external requests are subject to
- * load shedding. */
+ * response or measured here; `runs_at` is the service that was asked.  Only
+ * routes of external requests are subject to load shedding. */
 void
 runtime_record_overload(runtime *n, uint32_t route, uint32_t runs_at,
                         enum origin_kind origin,
