platform_watch: a change that two answers tell is handled once

Cause: a poll and a check of the store (platform_watch_check) overlap. A response with the revision that was handled last was handled again, as only older ones were left out: a desired state that is refused was logged twice, and the poll under way was cancelled and sent anew.

The stand-in for the store tells how many watches wait, so the test publishes while a check and a poll of one node do.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -60,6 +60,7 @@
 void harness_set_store_mode(enum harness_store_mode mode);
 int harness_store_write_count(void);
 int harness_store_read_count(void);
+int harness_store_waiting_count(const char *kind);
 void harness_set_store_stale_ms(int stale_ms);
 int harness_store_stale_read_count(const char *kind);
 void harness_store_put(const char *kind, const char *name, const char *spec);
--- a/tests/integration/mesh_workspace_test.c
+++ b/tests/integration/mesh_workspace_test.c
@@ -37,6 +37,8 @@
 #define SLOTS 38        /* that a target is given, of its 40 */
 #define SILENCE_MS 4000 /* after which a node takes itself for cut off */
 #define PAUSE_MS 50     /* between two tries */
+#define SETTLE_MS 200   /* in which all watches of a change are answered */
+#define REFUSED_STATES 6
 
 /* Whether the nodes from `first` on have put a version in force. */
 static bool
@@ -284,6 +286,31 @@
     cr_expect_not(harness_log_contains(0, "key-a1"));
 }
 
+/* Lines of all nodes' logs that tell of a refused desired state. */
+static int
+refusal_count(void)
+{
+    int count = 0;
+    for (int i = 0; i < MESH_NODES; i++) {
+        count += harness_log_count(i, "rejected:");
+    }
+    return count;
+}
+
+/* Each desired state comes to a node's watch and its check of the store alike:
+ * it is handled once. */
+Test(mesh_workspace, a_change_that_two_answers_tell)
+{
+    for (int i = 1; i <= REFUSED_STATES; i++) {
+        cr_assert(HARNESS_WAIT_FOR(harness_store_waiting_count("config") >
+                                   MESH_NODES));
+        harness_publish_workspaces(2 + i, WORKSPACE_ROUTES, "{}");
+        cr_expect(HARNESS_WAIT_FOR(refusal_count() >= i * MESH_NODES));
+        harness_sleep_ms(SETTLE_MS);
+        cr_expect_eq(refusal_count(), i * MESH_NODES, "state %d", i);
+    }
+}
+
 /* Send requests that take all slots of the target beside node 0, until one
  * has to wait for 100 ms.  Returns their number. */
 static int
