config tests: an outage is tested with a change that nodes still lack

Then the outage tests nothing.

Change: the test publishes until a change is accepted before it is in force everywhere, at most ten times, and checks that one that is said to be in force is so at each node. Any other status fails as before, and is printed.

--- a/tests/integration/config_test.c
+++ b/tests/integration/config_test.c
@@ -20,6 +20,8 @@
 #define PUBLISH_CONFLICT 4
 #define PUBLISH_NOT_YET 6
 #define PUBLISH_TIMEOUT_MS 20000
+#define FIRST_CHANGE 7 /* numbers of the changes of a test */
+#define CHANGES_MAX 10
 
 static void
 write_file(const char *path, const char *text)
@@ -262,6 +264,28 @@
     cr_assert_gt(node_version(instance), version, "not at the first node");
 }
 
+/* Publish changes until one is accepted that isn't in force everywhere when
+ * the publisher has asked the nodes; one that is said to be in force is so at
+ * each of them.  Returns the highest version before that change. */
+static int64_t
+publish_ahead_of_nodes(const rig *r)
+{
+    char path[CLUSTER_PATH_SIZE * 2];
+    for (int i = 0; i < CHANGES_MAX; i++) {
+        int64_t before = highest_version(r);
+        write_service(path, sizeof(path), r, "pay", FIRST_CHANGE + i, "");
+        int status = publish(r, path, 0);
+        if (status != PUBLISH_OK) {
+            cr_expect_eq(status, PUBLISH_NOT_YET, "%d", status);
+            return before;
+        }
+        cr_expect_geq(wait_above(r, before, 0), 0, "not in force everywhere");
+        printf("change %d was in force everywhere at once\n", i);
+    }
+    cr_assert_fail("%d changes were in force everywhere at once", CHANGES_MAX);
+    return 0;
+}
+
 /* A change is accepted, and then the platform goes down: peers spread it.
  * With `known`, the only node that is not cut off from the platform has read
  * the change before. */
@@ -270,9 +294,7 @@
 {
     static rig r;
     static version_monitor monitor;
-    char path[CLUSTER_PATH_SIZE * 2];
     rig_start(&r, "pair", "");
-    int64_t before = highest_version(&r);
     /* All nodes but one are cut off from the platform during the test. */
     fault_proxy_set_mode(r.platform_proxy, FAULT_PROXY_CLOSE);
     rig_sleep_ms(300);
@@ -283,8 +305,7 @@
     cr_assert_eq(cluster_start_node(&r.cluster, one, &e), 0);
     rig_sleep_ms(1500);
     version_monitor_start(&monitor, &r);
-    write_service(path, sizeof(path), &r, "pay", 7, "");
-    cr_expect_eq(publish(&r, path, 0), PUBLISH_NOT_YET);
+    int64_t before = publish_ahead_of_nodes(&r);
     if (known) {
         wait_node_above(one, before);
     }
