peer_server: the state of a request in a file of its own

Cause: peer_server.c and peer_server_claim.c called each other in a circle.

Change: peer_server_request.c holds a forwarded request and how it is answered, and calls neither of them; peer_server_claim.c calls it, and peer_server.c calls both. A pure move; three functions lose "static". flow-tests: 117 of 117.

--- a/src/flow/peer_server_private.h
+++ b/src/flow/peer_server_private.h
@@ -1,6 +1,7 @@
 /*
- * peer_server_private: the state of a forwarded request, shared by the sources
- * that serve it and that retain its response after its connection broke.
+ * peer_server_private: the state of a forwarded request (peer_server_request),
+ * shared by the sources that serve it (peer_server) and that retain its
+ * response after its connection broke (peer_server_claim).
  */
 #ifndef LAV_PEER_SERVER_PRIVATE_H
 #define LAV_PEER_SERVER_PRIVATE_H
@@ -38,10 +39,17 @@
     ev_timer claim_timer; /* runs while the connection is broken */
 } peer_server_request;
 
+bool peer_server_skip_field(http_str name, void *payload);
+peer_server_request *peer_server_request_new(server_conn *s,
+                                             const http_head *head,
+                                             const hop_request *hop);
 void peer_server_request_free(peer_server_request *q);
 void peer_server_finish_request(peer_server_request *q);
 void peer_server_refuse_request(peer_server_request *q,
                                 const attempt_failure *failure);
+void peer_server_write_hop_header(runtime *n, const hop_request *hop,
+                                  bytebuf *fields, enum outcome outcome,
+                                  enum reason reason, bool reached);
 void peer_server_write_failure(server_conn *s, const hop_request *hop,
                                const attempt_failure *failure);
 bool peer_server_retain_request(peer_server_request *q);
