local_target: its sources call each other in one direction

Cause: local_target.c and its four files called each other in circles, so no file held the state that the others build on.

Change: state, rate, log, load, recovery, registration, call, http, local_target: each calls only those before it (local_target_private.h). New files are load (reports and levels), call (a call's handle and end) and registration (heartbeats). A call that ends tells local_target.c by local_target.slot_freed that queued calls can go on.

--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -1,6 +1,7 @@
 /*
  * local_target_private: the state of the local target and of its calls, shared
- * by the sources for admission, HTTP exchange, recovery and logging.
+ * by its sources.  Each calls only those before it: state, rate, log, load,
+ * recovery, registration, call, http, local_target.
  */
 #ifndef LAV_LOCAL_TARGET_PRIVATE_H
 #define LAV_LOCAL_TARGET_PRIVATE_H
@@ -67,7 +68,8 @@
     local_target_call *calls[LOCAL_TARGET_CALLS_MAX];
     int free_handles[LOCAL_TARGET_CALLS_MAX];
     int free_count;
-    ev_timer expiry; /* runs while calls are queued */
+    ev_timer expiry;                     /* runs while calls are queued */
+    void (*slot_freed)(local_target *t); /* a call has left its slot */
 };
 
 struct local_target_call {
@@ -99,6 +101,7 @@
 
 enum instance_state local_target_state(const local_target *t);
 void local_target_announce_state(local_target *t);
+int local_target_usable_slots(const local_target *t);
 void local_target_update_limit(local_target *t);
 void local_target_begin_drain(local_target *t);
 void local_target_recover_departed(local_target *t);
@@ -114,9 +117,18 @@
 void local_target_update_leaving(local_target *t, const http_head *head);
 void local_target_update_load(local_target *t, const http_head *head);
 bool local_target_limits_chains(const local_target *t);
+double local_target_time_share(const local_target *t,
+                               const attempt_request *r);
+void local_target_count_chains(local_target *t, bool refused);
 void local_target_log_level(const local_target *t);
 void local_target_log_capacity(const local_target *t, int limit, int before);
 void local_target_log_cancel(const local_target_call *call);
+local_target_call *local_target_call_new(local_target *t, attempt_request *r,
+                                         uint64_t nonce,
+                                         const attempt_callbacks *callbacks,
+                                         void *payload);
+void local_target_call_free(local_target_call *call);
+void local_target_end_run(const local_target_call *call);
 int local_target_dispatch_call(local_target_call *call, enum reason *reason);
 void local_target_finish_call(local_target_call *call, bool failed);
 void local_target_fail_call(local_target_call *call, enum outcome outcome,
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -255,40 +255,6 @@
     return awaits_entries || local_target_check_unconfirmed(t);
 }
 
-/* Considers the heartbeat that is held, if there is one. */
-static void
-local_target_confirm(local_target *t)
-{
-    if (t->instance[0] == '\0' && t->unconfirmed.instance[0] != '\0') {
-        local_target_heartbeat heartbeat = t->unconfirmed;
-        local_target_register(t, &heartbeat);
-    }
-}
-
-/* Timer: the store's entries were not read in time. */
-void
-local_target_on_entries_wait(struct ev_loop *loop, ev_timer *watcher,
-                             int events)
-{
-    (void)loop;
-    (void)events;
-    local_target *t = watcher->data;
-    evloop_update_now(t->n->l);
-    local_target_confirm(t);
-}
-
-/* The store's entries have been read, and with them what an earlier start of
- * the node announced, if there was one. */
-void
-local_target_set_earlier_known(local_target *t)
-{
-    if (!t->earlier_known) {
-        t->n->first_start = !t->announced_earlier;
-    }
-    t->earlier_known = true;
-    local_target_confirm(t);
-}
-
 /* Updates the number of orphaned calls, and what is known of the host, from the
  * load that the target reports in a response. */
 void
--- a/src/flow/local_target_state.c
+++ b/src/flow/local_target_state.c
@@ -1,11 +1,16 @@
-/* The starts of the target: registration, departure and failure. */
+/* The state of the target: what it is announced as, which of its starts this
+ * is, and how many calls it may run. */
 #include <jansson.h>
+#include <math.h>
 #include <string.h>
 
 #include "lav/clock.h"
 #include "lav/log.h"
 #include "local_target_private.h"
 
+/* Share of the slots from which on some targets slow down. */
+#define LOCAL_TARGET_USABLE_SLOTS_RATIO 0.95
+
 /* Returns the state of the target as announced to other nodes.  A target that
  * leaves is announced as such even if it is down: this node learns from the
  * announcement after a restart that it must not be used again. */
@@ -80,76 +85,6 @@
     }
 }
 
-/* Handles a registration heartbeat.  Returns false if it is stale: from an
- * earlier start of the target, or overtaken by a later heartbeat.  One of a
- * target that may have left under an earlier start of the node is accepted, but
- * the target is not used until that is known.  If the
- * known target is down, another instance is accepted even with an earlier
- * start time, as the clock may have been set back.  Should that heartbeat only
- * be late, the first request fails because the instance is not there. */
-bool
-local_target_register(local_target *t, const local_target_heartbeat *heartbeat)
-{
-    bool same = strcmp(heartbeat->instance, t->instance) == 0 &&
-                heartbeat->born_ms == t->born_ms;
-    bool replaces_down =
-        t->down && strcmp(heartbeat->instance, t->instance) != 0;
-    if (!same && t->instance[0] != '\0' && heartbeat->born_ms <= t->born_ms &&
-        !replaces_down) {
-        return false;
-    }
-    if (same && heartbeat->sequence <= t->sequence) {
-        return false;
-    }
-    if (local_target_await_confirmation(t, heartbeat)) {
-        return true;
-    }
-    if (!same) {
-        local_target_reset(t, heartbeat->instance, heartbeat->born_ms);
-    }
-    t->sequence = heartbeat->sequence;
-    t->down = false;
-    if (!same || heartbeat->slots != t->slots) {
-        t->slots = heartbeat->slots;
-        local_target_update_limit(t);
-    }
-    if (heartbeat->leaving && !t->draining) {
-        local_target_begin_drain(t);
-    }
-    t->registered = true;
-    local_target_announce_state(t);
-    return true;
-}
-
-/* Handles the announcement that an instance leaves.  The instance is
- * remembered with its start time, or with the current time if it has not
- * registered, so that a late heartbeat of that or an earlier start does not
- * bring it back. */
-void
-local_target_drain(local_target *t, const char *instance)
-{
-    bool current = strcmp(instance, t->instance) == 0;
-    departed_targets_add(&t->departed, instance,
-                         current && t->registered ? t->born_ms
-                                                  : clock_wall_ms());
-    if (current && !t->draining) {
-        local_target_begin_drain(t);
-        local_target_announce_state(t);
-    }
-    local_target_recover_departed(t);
-}
-
-/* Begins to drain the target if a response says that it leaves. */
-void
-local_target_update_leaving(local_target *t, const http_head *head)
-{
-    http_str leaving = http_head_get_field(head, t->n->header_names->leaving);
-    if (!t->draining &&
-        http_str_equals_nocase(leaving, LOCAL_TARGET_LEAVING)) {
-        local_target_drain(t, t->instance);
-    }
-}
-
 /* Marks the target of a call as down, because it was unreachable or is another
  * instance.  It gets no more calls until it registers again.  Has no effect if
  * a later start of the target has registered since. */
@@ -179,3 +114,40 @@
 {
     return strcmp(t->instance, instance) == 0;
 }
+
+/* Returns how many calls the target may run concurrently if it takes them
+ * well: below the share of its slots from which on some targets slow down. */
+int
+local_target_usable_slots(const local_target *t)
+{
+    return (int)ceil(t->slots * LOCAL_TARGET_USABLE_SLOTS_RATIO) - 1;
+}
+
+/* Sets how many calls the target may run concurrently: those that it takes
+ * well, less the calls that an earlier start of the node left running; at
+ * least one. */
+void
+local_target_update_limit(local_target *t)
+{
+    int limit =
+        instance_capacity_limit(&t->capacity, local_target_usable_slots(t)) -
+        orphan_calls_count(&t->orphans);
+    target_queue_set_limit(t->queue, limit < 1 ? 1 : limit, t->n->l->now_us);
+}
+
+/* Returns the share of the requests that lead here that can be admitted, as
+ * the target measures it. */
+double
+local_target_level(const local_target *t)
+{
+    return overload_level(&t->overload);
+}
+
+/* Whether calls of many requests come to the target beside long requests of
+ * its own, so that chains are admitted apart from those. */
+bool
+local_target_limits_chains(const local_target *t)
+{
+    return t->n->routes != NULL &&
+           routing_serves_mixed_work(t->n->routes, t->n->settings.service);
+}
