frontend: its sources call each other in one direction

Cause: frontend.c and its files for attempts, identities and usage called each other in circles.

Change: log, request, identity, attempt, admission, usage, frontend: each calls only those before it (frontend_private.h).

--- a/src/flow/frontend_identity.c
+++ b/src/flow/frontend_identity.c
@@ -1,7 +1,6 @@
 #include "frontend_identity.h"
 
 #include <glib.h>
-#include <sodium.h>
 #include <string.h>
 
 #include "frontend_log.h"
@@ -164,14 +163,3 @@
         }
     }
 }
-
-/* Releases the copy of the key. */
-void
-frontend_identity_clear(frontend_request *q)
-{
-    if (q->identity.key != NULL) {
-        sodium_memzero(q->identity.key, strlen(q->identity.key));
-        g_free(q->identity.key);
-        q->identity.key = NULL;
-    }
-}
--- a/src/flow/frontend_private.h
+++ b/src/flow/frontend_private.h
@@ -1,6 +1,7 @@
 /*
- * frontend_private: the state of a request in the frontend, shared by the
- * sources that receive requests, attempt them and log them.
+ * frontend_private: the state of a request in the frontend, shared by its
+ * sources.  Each calls only those before it: log, request, identity, attempt,
+ * admission, usage, frontend and, beside that, stop.
  */
 #ifndef LAV_FRONTEND_PRIVATE_H
 #define LAV_FRONTEND_PRIVATE_H
@@ -71,12 +72,14 @@
     bool committed; /* the response head was written to the caller */
 } frontend_request;
 
-void frontend_admit_request(frontend_request *q);
-void frontend_start_attempt(frontend_request *q);
+frontend_request *frontend_request_new(server_conn *s, const http_head *head);
+void frontend_free(frontend_request *q);
 void frontend_cancel_attempt(frontend_request *q);
 void frontend_respond_error(frontend_request *q, int status,
                             enum reason reason);
 void frontend_finish_request(frontend_request *q);
+void frontend_start_attempt(frontend_request *q);
+void frontend_admit_request(frontend_request *q);
 
 extern const attempt_callbacks frontend_attempt_callbacks;
 
