instance_pick: the times of a service's instances are found in one walk

Cause: each choice walked the list of a service's instances twice before it compared them, in two functions of one shape.

Change: one walk finds both shortest times.

--- a/src/core/instance_pick.c
+++ b/src/core/instance_pick.c
@@ -40,43 +40,43 @@
     return false;
 }
 
-/* Returns the shortest mean call time, in us, among the ready instances of a
- * service; 0 if none is known.  One most of whose calls fail doesn't count:
- * beside the few that it served, others would seem slow, and its failures
- * would weigh less than that. */
-static int
-instance_fastest_us(const instance_table *table, const GArray *group,
-                    const char *service)
+/* The fastest instances of a service. */
+typedef struct instance_speeds {
+    int fastest_us; /* by mean call time; 0: not known */
+    int least_us;   /* by what a call takes now; 0: no instance tells it */
+} instance_speeds;
+
+/* Adds what a ready instance tells to the shortest times.  One most of whose
+ * calls fail doesn't count for the mean: beside the few that it served, others
+ * would seem slow, and its failures would weigh less than that. */
+static void
+instance_add_speed(instance_speeds *speeds, const instance_load_report *report)
 {
-    int fastest_us = 0;
-    for (guint i = 0; i < group->len; i++) {
-        const instance_entry *entry =
-            &table->entries[g_array_index(group, int, i)];
-        if (instance_is_ready(entry, service) && entry->report.call_us > 0 &&
-            entry->report.failures_permille < INSTANCE_FAILING_PERMILLE &&
-            (fastest_us == 0 || entry->report.call_us < fastest_us)) {
-            fastest_us = entry->report.call_us;
-        }
+    if (report->call_us > 0 &&
+        report->failures_permille < INSTANCE_FAILING_PERMILLE &&
+        (speeds->fastest_us == 0 || report->call_us < speeds->fastest_us)) {
+        speeds->fastest_us = report->call_us;
+    }
+    if (report->work_us > 0 &&
+        (speeds->least_us == 0 || report->work_us < speeds->least_us)) {
+        speeds->least_us = report->work_us;
     }
-    return fastest_us;
 }
 
-/* Returns the shortest time that a call takes now, in us, as the ready
- * instances of a service tell; 0 if none does. */
-static int
-instance_least_work_us(const instance_table *table, const GArray *group,
-                       const char *service)
+/* Returns the shortest times that the ready instances of a service tell. */
+static instance_speeds
+instance_find_speeds(const instance_table *table, const GArray *group,
+                     const char *service)
 {
-    int least_us = 0;
+    instance_speeds speeds = {0, 0};
     for (guint i = 0; i < group->len; i++) {
         const instance_entry *entry =
             &table->entries[g_array_index(group, int, i)];
-        if (instance_is_ready(entry, service) && entry->report.work_us > 0 &&
-            (least_us == 0 || entry->report.work_us < least_us)) {
-            least_us = entry->report.work_us;
+        if (instance_is_ready(entry, service)) {
+            instance_add_speed(&speeds, &entry->report);
         }
     }
-    return least_us;
+    return speeds;
 }
 
 /* Returns the cost of load, speed and distance of an instance of a service
@@ -119,12 +119,6 @@
     return cost;
 }
 
-/* The fastest instances of a service. */
-typedef struct instance_speeds {
-    int fastest_us; /* by mean call time; 0: not known */
-    int least_us;   /* by what a call takes now; 0: no instance tells it */
-} instance_speeds;
-
 /* Returns the share of calls that fail at an instance, 0 to 1.  Where instances
  * tell what a call takes, an old report counts for less, like its load: one
  * that was left alone as it failed has no other way to show that it serves. */
@@ -214,9 +208,8 @@
     if (group == NULL) {
         return INSTANCE_NONE;
     }
-    instance_speeds speeds = {
-        instance_fastest_us(table, group, query->service),
-        instance_least_work_us(table, group, query->service)};
+    instance_speeds speeds =
+        instance_find_speeds(table, group, query->service);
     for (guint at = 0; at < group->len; at++) {
         int i = g_array_index(group, int, at);
         const instance_entry *entry = &table->entries[i];
