mesh_restart: wait for the news of the target that is back

Traced: the caller's node reads the entries of others at most once a second (PLATFORM_POLL_DELAY_MIN_S); it had read the one before 0.1 s earlier, and the test's 30 calls were over after 0.7 s. That the news comes a second later is the design's; whether it came within the calls depended on when the test began.

--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -139,6 +139,7 @@
     harness_replace_instance_clock_back(1, "i-back");
     harness_set_target_refusing(1, false);
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-back")));
     cr_expect_gt(mesh_count_runs_of_node1("back"), 0);
 }
 
