member_view: caps are divided only among nodes that know of each other

The store became silent within a second of the first start of a fleet; each node had a desired state, had read no other node's entry, took itself for the only member and granted the whole cap (usage_gate_knows_members asked for a desired state only).

Change: a node takes part once all members were read and the others know of it: an entry of an earlier start of it was read, from the store or with a peer's state, or its own entry of this start was read from the store, and with it all those written before, 3 s ago. Until then requests of workspaces with caps are refused with 503, as before a member list. A fleet that starts for the first time does so for 3 s after its entries are written.

--- a/src/flow/peer_sync.c
+++ b/src/flow/peer_sync.c
@@ -2,6 +2,7 @@
 
 #include <jansson.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "http_async.h"
 #include "lav/clock.h"
@@ -43,6 +44,10 @@
                       e.message);
         }
         else {
+            if (strcmp(record.node, n->self.node) == 0 &&
+                record.incarnation < n->self.incarnation) {
+                member_view_note_earlier(&n->view);
+            }
             runtime_merge_member(n, &record, "a peer");
         }
         json_decref(member);
@@ -64,6 +69,7 @@
     part = json_parts_find(state, "members");
     if (json_split(&members, part.text, part.length, NULL) == 0) {
         peer_sync_merge_members(n, members);
+        member_view_note_list(&n->view);
     }
     json_parts_free(members);
 }
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -17,6 +17,7 @@
 #include "lav/proxycfg.h"
 #include "lav/downstream.h"
 #include "lav/instance.h"
+#include "lav/member_view.h"
 #include "lav/shedder.h"
 #include "lav/retry_budget.h"
 #include "lav/retry_share.h"
@@ -75,6 +76,7 @@
     int64_t config_since_us;   /* when it came into force */
     config_contact contact;    /* what is known of newer ones */
     instance_table *fleet;
+    member_view view;             /* whether the fleet knows of each other */
     downstream_table *downstream; /* overload below each route */
     retry_share_table
         *retry_shares;          /* share of retries in the target's runs */
--- a/src/flow/usage_gate.c
+++ b/src/flow/usage_gate.c
@@ -329,11 +329,13 @@
     }
 }
 
-/* Whether the members that this node knows are those of a list. */
+/* Whether this node knows the members that the caps are divided among, and
+ * they know it. */
 static bool
 usage_gate_knows_members(const usage_gate *gate)
 {
-    return gate->n->routes != NULL;
+    const runtime *n = gate->n;
+    return n->routes != NULL && member_view_is_mutual(&n->view, n->l->now_us);
 }
 
 /* Hands the members to the node's side. */
