soak: usage caps, a hot workspace and a calm one

The soak knew workspaces and withdrawn keys, but no caps. Held: in no window of 5 s more than (rate x 5 + burst) x 1.1 + 20 of the first were both sent and run; each 429 is for a workspace with a cap and names a time within the gate's bounds, 0.02 to 1 s (Retry-After may have fractions); the second is never answered 429 and always served.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -110,11 +110,12 @@
                   const char *path, const char *id, const char *body,
                   size_t length);
 
-/* What the targets recorded of a request: how often it was executed and how
- * often it arrived, the node beside the target where it arrived last (-1 when
+/* What the targets recorded of a request: how often it was executed, when its
+ * first run arrived (monotonic; 0: never) and how often it arrived, the node beside the target where it arrived last (-1 when
  * it never did), whether its connection was closed while it ran, and the head
  * and the size of the body as a target last received them. */
 int harness_run_count(const char *id);
+int64_t harness_first_run_us(const char *id);
 int harness_arrival_count(const char *id);
 int harness_last_run_node(const char *id);
 bool harness_was_disconnected(const char *id);
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -27,6 +27,7 @@
 /* What the targets recorded of a request. */
 typedef struct harness_record {
     int runs;          /* times that it was executed */
+    int64_t run_us;    /* when the first of these arrived */
     int arrivals;      /* times that it arrived, executed or not */
     int node;          /* beside the target where it arrived last */
     bool disconnected; /* its connection was closed while it ran */
@@ -199,6 +200,7 @@
         harness_check_close_time(id, request, node);
     }
     r->arrivals += runs >= 0;
+    r->run_us = runs > 0 && r->runs == 0 ? request->arrived_us : r->run_us;
     r->runs += runs > 0;
     r->node = node;
     r->disconnected = r->disconnected || runs < 0;
@@ -222,6 +224,7 @@
         return value;                                                         \
     }
 HARNESS_DEFINE_GETTER(int, harness_run_count, 0, r->runs)
+HARNESS_DEFINE_GETTER(int64_t, harness_first_run_us, 0, r->run_us)
 HARNESS_DEFINE_GETTER(int, harness_arrival_count, 0, r->arrivals)
 HARNESS_DEFINE_GETTER(int, harness_last_run_node, -1, r->node)
 HARNESS_DEFINE_GETTER(bool, harness_was_disconnected, false, r->disconnected)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -39,12 +39,34 @@
         check_timing; /* answers are held to their time; for a quiet machine */
 } soak_options;
 
+/* What a caller sends as its key: one that no version withdraws, or that of
+ * the newest version, or that of the one before; or the lasting key of one of
+ * the workspaces that have a usage cap. */
+enum soak_key {
+    SOAK_KEY_LASTING,
+    SOAK_KEY_NEWEST,
+    SOAK_KEY_WITHDRAWN,
+    SOAK_KEY_HOT,
+    SOAK_KEY_CALM
+};
+
+#define SOAK_KEY_LINE_SIZE 64 /* bytes of a header line, with the NUL */
+
+/* Usage cap of the hot and of the calm workspace. */
+#define SOAK_CAP_RATE 20 /* requests a second */
+#define SOAK_CAP_BURST 20
+#define SOAK_CAPS                                                             \
+    "\"rate_per_s\":" G_STRINGIFY(SOAK_CAP_RATE) ",\"burst\":" G_STRINGIFY(   \
+        SOAK_CAP_BURST)
+
 /* What a caller saw of one request. */
 typedef struct soak_result {
     char id[SOAK_ID_SIZE];
     int status; /* 0: the connection ended without a whole answer */
     bool idempotent;
-    bool lasting_key; /* no version withdraws its key */
+    enum soak_key key;
+    int64_t sent_us;
+    int64_t run_us; /* its first run, or 0; set by the checks */
 } soak_result;
 
 /* Requested state of the target of a node. */
@@ -75,25 +97,25 @@
     pthread_mutex_t lock;
     GArray *results;   /* soak_result */
     GHashTable *kinds; /* name of a fault -> times */
+    int hot_begun;     /* requests of the hot workspace that ran */
+    int hot_largest;   /* of them in one window */
 } soak_run;
 
 void soak_report_violation(soak_run *s, const char *format, ...)
     G_GNUC_PRINTF(2, 3);
-/* What a caller sends as its key: one that no version withdraws, or that of
- * the newest version, or that of the one before. */
-enum soak_key {
-    SOAK_KEY_LASTING,
-    SOAK_KEY_NEWEST,
-    SOAK_KEY_WITHDRAWN
-};
-
-#define SOAK_KEY_LINE_SIZE 64 /* bytes of a header line, with the NUL */
-
 void soak_write_key(char *line, const soak_run *s, enum soak_key key);
 void *soak_run_registrar(void *payload);
 void *soak_run_caller(void *payload);
+void *soak_run_hot_caller(void *payload);
+void soak_request(soak_run *s, const soak_node *node, int *fd, int kind,
+                  const char *id, enum soak_key key);
+int soak_probe(const soak_run *s, int node, const char *path, const char *id,
+               enum soak_key key);
 void soak_inject_faults(soak_run *s);
 void soak_publish_desired(soak_run *s);
 void soak_check(soak_run *s);
+void soak_check_over_cap(soak_run *s, const char *id,
+                         const harness_response *answer, enum soak_key key);
+void soak_check_usage(soak_run *s);
 
 #endif
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -65,14 +65,17 @@
 void
 soak_write_key(char *line, const soak_run *s, enum soak_key key)
 {
+    static const char *const lasting[] = {[SOAK_KEY_LASTING] = "lasting",
+                                          [SOAK_KEY_HOT] = "hot",
+                                          [SOAK_KEY_CALM] = "calm"};
     int version = atomic_load(&s->version);
     line[0] = '\0';
     if (!s->opts.workspaces) {
         return;
     }
-    if (key == SOAK_KEY_LASTING) {
-        snprintf(line, SOAK_KEY_LINE_SIZE,
-                 "Authorization: Bearer lasting\r\n");
+    if (key != SOAK_KEY_NEWEST && key != SOAK_KEY_WITHDRAWN) {
+        snprintf(line, SOAK_KEY_LINE_SIZE, "Authorization: Bearer %s\r\n",
+                 lasting[key]);
         return;
     }
     snprintf(line, SOAK_KEY_LINE_SIZE, "Authorization: Bearer key-%d\r\n",
@@ -81,15 +84,16 @@
 
 /* One request on `*fd`, which is opened if need be and closed after its last
  * answer. */
-static void
-soak_request(soak_run *s, const soak_node *node, int *fd,
-             const soak_kind *kind, const char *id, enum soak_key key)
+void
+soak_request(soak_run *s, const soak_node *node, int *fd, int kind_index,
+             const char *id, enum soak_key key)
 {
+    const soak_kind *kind =
+        &soak_kinds[kind_index % (int)G_N_ELEMENTS(soak_kinds)];
     char request[512];
     char key_line[SOAK_KEY_LINE_SIZE];
     harness_response answer;
-    soak_result result = {.idempotent = kind->idempotent,
-                          .lasting_key = key == SOAK_KEY_LASTING};
+    soak_result result = {.idempotent = kind->idempotent, .key = key};
     soak_write_key(key_line, s, key);
     bool fresh = *fd < 0;
     if (fresh) {
@@ -108,9 +112,11 @@
     harness_send(*fd, request, (size_t)size);
     harness_read_response(&answer, *fd);
     soak_check_answer(s, id, &answer);
+    soak_check_over_cap(s, id, &answer, key);
     soak_check_time(s, node, id, sent_us, answer.status);
     g_strlcpy(result.id, id, sizeof(result.id));
     result.status = answer.status;
+    result.sent_us = sent_us;
     if (answer.status == 0 ||
         strstr(answer.head, "Connection: close") != NULL) {
         close(*fd);
@@ -135,7 +141,7 @@
         char id[SOAK_ID_SIZE];
         int kind = g_rand_int_range(random, 0, G_N_ELEMENTS(soak_kinds));
         snprintf(id, sizeof(id), "s%d-%d-%d", s->opts.seed, number, i);
-        soak_request(s, node, &fd, &soak_kinds[kind], id,
+        soak_request(s, node, &fd, kind, id,
                      number % SOAK_KEYS_OF == 0 ? SOAK_KEY_NEWEST
                                                 : SOAK_KEY_LASTING);
         harness_sleep_ms(g_rand_int_range(random, 0, 2 * SOAK_PAUSE_MS));
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -24,16 +24,19 @@
         version % 2 == 0 ? ROUTE("/r/", "idempotent", "2s", "far")
                          : ROUTE("/r/", "idempotent", "2s", "near"),
         version % 3 == 0 ? "" : "," ROUTE("/q/", "idempotent", "2s", "far"));
-    char workspaces[256];
+    char workspaces[512];
     snprintf(workspaces, sizeof(workspaces),
              "[{\"name\":\"one\",\"api_keys\":[\"lasting\"],\"priority\":0},"
-             "{\"name\":\"two\",\"api_keys\":[\"key-%d\"],\"priority\":1}]",
+             "{\"name\":\"two\",\"api_keys\":[\"key-%d\"],\"priority\":1},"
+             "{\"name\":\"hot\",\"api_keys\":[\"hot\"]," SOAK_CAPS "},"
+             "{\"name\":\"calm\",\"api_keys\":[\"calm\"]," SOAK_CAPS "}]",
              version);
     harness_publish_workspaces(version, routes,
                                s->opts.workspaces ? workspaces : NULL);
 }
 
-static int
+/* Sends a request on a connection of its own; its status. */
+int
 soak_probe(const soak_run *s, int node, const char *path, const char *id,
            enum soak_key key)
 {
@@ -131,7 +134,7 @@
                 s, "%s ran and got no answer in planned work", r->id);
         }
         if (r->status == 404 || r->status == 400 ||
-            (r->status == 401 && r->lasting_key)) {
+            (r->status == 401 && r->key != SOAK_KEY_NEWEST)) {
             soak_report_violation(s, "%s got %d", r->id, r->status);
         }
     }
@@ -177,6 +180,7 @@
     soak_check_results(s);
     soak_check_repeats(s);
     soak_check_identities(s);
+    soak_check_usage(s);
     if (harness_late_arrival_count() > 0) {
         soak_report_violation(s, "%d requests came to targets that had left",
                               harness_late_arrival_count());
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -9,6 +9,7 @@
 #include "soak.h"
 
 #define SOAK_CALLERS_MAX 512
+#define SOAK_HOT_CALLERS_MAX 64
 
 static int soak_seed = 1;
 static int soak_seeds = 1;
@@ -82,16 +83,23 @@
     int arrivals = harness_total_arrival_count(&repeats);
     int good = 0;
     int refused = 0;
+    int over = 0;
     for (guint i = 0; i < s->results->len; i++) {
         int status = g_array_index(s->results, soak_result, i).status;
         good += status == 200;
         refused += status == 503;
+        over += status == 429;
     }
     printf("seed %d%s: %u requests, %d served, %d refused, %d arrivals at "
            "targets, %d repeats, %d faults, %d findings\n",
            s->opts.seed, s->opts.planned ? " (planned)" : "", s->results->len,
            good, refused, arrivals, repeats, atomic_load(&s->faults),
            atomic_load(&s->violations));
+    if (s->opts.workspaces) {
+        printf("  hot workspace: %d begun, %d in one window, %d over its "
+               "cap\n",
+               s->hot_begun, s->hot_largest, over);
+    }
     GHashTableIter iter;
     gpointer name = NULL;
     gpointer times = NULL;
@@ -107,8 +115,9 @@
 soak_play(const soak_options *opts)
 {
     static soak_run s;
-    pthread_t callers[SOAK_CALLERS_MAX];
+    pthread_t callers[SOAK_CALLERS_MAX + SOAK_HOT_CALLERS_MAX];
     int count = MIN(opts->nodes * opts->callers, SOAK_CALLERS_MAX);
+    int hot = opts->workspaces ? MIN(opts->nodes, SOAK_HOT_CALLERS_MAX) : 0;
     memset(&s, 0, sizeof(s));
     s.opts = *opts;
     pthread_mutex_init(&s.lock, NULL);
@@ -119,9 +128,13 @@
         pthread_create(&callers[i], NULL, soak_run_caller,
                        &s.nodes[i % opts->nodes]);
     }
+    for (int i = 0; i < hot; i++) {
+        pthread_create(&callers[count + i], NULL, soak_run_hot_caller,
+                       &s.nodes[i]);
+    }
     soak_inject_faults(&s);
     atomic_store(&s.stopped, true);
-    for (int i = 0; i < count; i++) {
+    for (int i = 0; i < count + hot; i++) {
         pthread_join(callers[i], NULL);
     }
     soak_check(&s);
