workspace_counts: how requests of workspaces end, in logs and metrics

Lines about a refused, failed or served request didn't say for which workspace it was taken, and metrics counted nothing by workspace. Without workspaces lines and metrics are as before.

--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -106,6 +106,7 @@
     bool not_run = refused || status == HTTP_STATUS_UNAUTHORIZED;
     counter_add(not_run ? COUNTER_NOT_RUN : COUNTER_UNKNOWN, 1);
     frontend_log_error_response(q, status, reason);
+    frontend_count_end(q, workspace_outcome_of(reason));
     if (refused) {
         usage_gate_return(&q->usage);
         int64_t after_us = q->r.retry_after_us > 0
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -317,6 +317,9 @@
     counter_add(COUNTER_DONE, 1);
     metrics_observe_latency(q->n->l->now_us - q->r.arrived_us);
     frontend_log_relayed_response(q);
+    frontend_count_end(q, q->status < HTTP_STATUS_INTERNAL_SERVER_ERROR
+                              ? WORKSPACE_SERVED
+                              : WORKSPACE_FAILED);
     frontend_finish_request(q);
 }
 
--- a/src/flow/frontend_identity.c
+++ b/src/flow/frontend_identity.c
@@ -165,6 +165,19 @@
     }
 }
 
+/* Counts the end of a request for its workspace, if it has one.  Without
+ * memory for the counts nothing is counted. */
+void
+frontend_count_end(const frontend_request *q, enum workspace_outcome outcome)
+{
+    runtime *n = q->n;
+    if (q->r.workspace == WORKSPACE_NONE || q->identity.exempt ||
+        (n->ended == NULL && workspace_counts_new(&n->ended) < 0)) {
+        return;
+    }
+    workspace_counts_add(n->ended, q->r.workspace, outcome);
+}
+
 /* Releases the copy of the key. */
 void
 frontend_identity_clear(frontend_request *q)
--- a/src/flow/frontend_identity.h
+++ b/src/flow/frontend_identity.h
@@ -12,6 +12,8 @@
                       const routing_route *route, enum reason *reason);
 void frontend_set_workspace(frontend_request *q, int route_priority);
 bool frontend_identity_recheck(frontend_request *q);
+void frontend_count_end(const frontend_request *q,
+                        enum workspace_outcome outcome);
 void frontend_identity_clear(frontend_request *q);
 
 #endif
--- a/src/flow/frontend_log.c
+++ b/src/flow/frontend_log.c
@@ -30,6 +30,19 @@
                                           : "answer (refused)";
 }
 
+/* Returns the name of the workspace that a request was taken for; NULL if it
+ * has none, or the desired state in force doesn't have that any more. */
+static const char *
+frontend_log_workspace(const frontend_request *q)
+{
+    const workspace_table *table = q->r.workspace == WORKSPACE_NONE
+                                       ? NULL
+                                       : routing_get_workspaces(q->n->routes);
+    const workspace *entry =
+        table == NULL ? NULL : workspace_get(table, q->r.workspace);
+    return entry == NULL ? NULL : entry->name;
+}
+
 /* Logs an error response of the node itself and the state that led to it. */
 void
 frontend_log_error_response(const frontend_request *q, int status,
@@ -46,7 +59,7 @@
         shedder_get_limit(n->shedder, q->r.route, n->l->now_us);
     int64_t time_left_us = routed ? q->r.deadline_us - n->l->now_us : 0;
     log_event(LOG_INFO, "answer", q->r.id,
-              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I,s:I}",
+              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I,s:I,s:s*}",
               "status", status, "reason", reason_name(reason), "service",
               q->service, "waited_us",
               (json_int_t)(n->l->now_us - q->r.arrived_us), "left_us",
@@ -55,7 +68,8 @@
               last == NULL ? "" : last->node, "begun_share", limit.level,
               "held_back_by", instance_service_name(n->fleet, limit.service),
               "level_age_us", (json_int_t)limit.age_us, "desired",
-              (json_int_t)runtime_config_version(n));
+              (json_int_t)runtime_config_version(n), "workspace",
+              frontend_log_workspace(q));
 }
 
 /* Logs a request whose key was refused, with the desired state that decided
@@ -133,10 +147,12 @@
         return;
     }
     const instance_record *record = instance_get(q->n->fleet, q->last_member);
-    log_event(LOG_INFO, event, q->r.id, "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i}",
-              "status", q->status, "service", q->service, "node",
+    log_event(LOG_INFO, event, q->r.id,
+              "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i,s:s*}", "status", q->status,
+              "service", q->service, "node",
               record == NULL ? "" : record->node, "instance",
               record == NULL ? "" : record->instance, "took_us",
               (json_int_t)(q->n->l->now_us - q->r.arrived_us), "attempts_left",
-              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth);
+              q->attempts_left, "moves", q->reroutes, "depth", q->r.depth,
+              "workspace", frontend_log_workspace(q));
 }
--- a/src/flow/metrics.c
+++ b/src/flow/metrics.c
@@ -24,6 +24,10 @@
 /* Upper bounds of the histogram's bins, in seconds. */
 static const double metrics_bounds_s[] = {0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                           0.2,   0.5,   1,    2,    5,    10};
+
+/* Workspaces whose requests are shown, at most. */
+#define METRICS_WORKSPACES_MAX 20
+
 #define METRICS_BINS (sizeof(metrics_bounds_s) / sizeof(metrics_bounds_s[0]))
 
 static gsl_histogram *metrics_latency;
@@ -136,6 +140,38 @@
     }
 }
 
+/* Writes how the requests of the workspaces with the most refusals ended;
+ * nothing if none was refused. */
+static void
+metrics_write_refused_workspaces(bytebuf *out, const runtime *n)
+{
+    workspace_counts_entry most[METRICS_WORKSPACES_MAX];
+    const workspace_table *workspaces =
+        n->routes == NULL ? NULL : routing_get_workspaces(n->routes);
+    size_t count = n->ended == NULL || workspaces == NULL
+                       ? 0
+                       : workspace_counts_most_refused(
+                             most, METRICS_WORKSPACES_MAX, n->ended);
+    if (count == 0) {
+        return;
+    }
+    bytebuf_append_text(out,
+                        "# HELP lav_workspace_requests_total Ends of the "
+                        "requests of the workspaces with the most refusals.\n"
+                        "# TYPE lav_workspace_requests_total counter\n");
+    for (size_t i = 0; i < count; i++) {
+        const workspace *entry = workspace_get(workspaces, most[i].workspace);
+        for (int j = 0; entry != NULL && j < WORKSPACE_OUTCOMES; j++) {
+            bytebuf_append_text(out,
+                                "lav_workspace_requests_total{workspace=\"");
+            metrics_append_label(out, entry->name);
+            bytebuf_appendf(out, "\",end=\"%s\"} %" PRIu64 "\n",
+                            workspace_outcome_name((enum workspace_outcome)j),
+                            most[i].counts[j]);
+        }
+    }
+}
+
 /* Handles a scrape: writes all counters, gauges and the histogram. */
 void
 metrics_handle_request(http_server_response *out,
@@ -189,4 +225,5 @@
                         "Version of the desired state in force.",
                         (double)runtime_config_version(n));
     metrics_write_workspaces(body, n);
+    metrics_write_refused_workspaces(body, n);
 }
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -99,6 +99,7 @@
     downstream_free(n->downstream);
     retry_share_free(n->retry_shares);
     shedder_free(n->shedder);
+    workspace_counts_free(n->ended);
     routing_free(n->routes);
     g_hash_table_destroy(n->retry_budgets);
     g_hash_table_destroy(n->peer_requests);
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -21,6 +21,7 @@
 #include "lav/retry_budget.h"
 #include "lav/retry_share.h"
 #include "lav/routing.h"
+#include "lav/workspace_counts.h"
 
 struct local_target;
 struct prober;
@@ -91,6 +92,7 @@
     struct local_target *local; /* the target of this node */
     struct prober *prober;      /* probes unreachable nodes */
     struct usage_gate *usage;   /* usage caps of workspaces */
+    workspace_counts *ended;    /* requests by workspace; NULL: none yet */
     bool state_fetch_pending;   /* a peer's state is being fetched */
     int64_t last_peer_contact_us; /* when a peer last reported its version */
     int requests;                 /* of callers and peers, in progress */
--- a/tests/integration/mesh_usage_test.c
+++ b/tests/integration/mesh_usage_test.c
@@ -150,6 +150,16 @@
                   begun);
     cr_expect_eq(call_with_key(0, "key-b", NULL), 200, "it has no cap");
     cr_expect(harness_log_contains(0, "\"reason\":\"over_cap\""));
+    cr_expect(harness_log_contains(0, "\"workspace\":\"alpha\""));
+    harness_response page;
+    harness_http_get(&page, harness_metrics_port(0), "/metrics");
+    cr_assert_not_null(page.body);
+    cr_expect_not_null(
+        strstr(page.body, "lav_workspace_requests_total{workspace=\"alpha\","
+                          "end=\"refused_by_cap\"} "));
+    cr_expect_null(strstr(page.body, "beta"), "it was never refused");
+    cr_expect_null(strstr(page.body, "key-"), "no key in metrics");
+    harness_free_response(&page);
 }
 
 typedef struct usage_case {
