--- a/src/tools/lav_explain.c
+++ b/src/tools/lav_explain.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "explain_verdict.h"
 #include "fleet.h"
 #include "lav/id.h"
 #include "log_reader.h"
@@ -137,8 +138,13 @@
         printf("\n");
     }
     else {
+        char verdict[EXPLAIN_VERDICT_SIZE];
         size_t index = 0;
         json_t *line = NULL;
+        explain_verdict(verdict, sizeof(verdict), lines);
+        if (verdict[0] != '\0') {
+            printf("%s: %s\n", request, verdict);
+        }
         json_array_foreach(lines, index, line)
         {
             explain_print_line(line);
--- a/src/tools/lav_status.c
+++ b/src/tools/lav_status.c
@@ -5,10 +5,12 @@
 #include <string.h>
 
 #include "fleet.h"
+#include "status_workspaces.h"
 #include "tool.h"
 
 static char *status_platform;
 static char *status_node;
+static char **status_metrics;
 static gboolean status_json;
 
 static const GOptionEntry status_entries[] = {
@@ -16,6 +18,10 @@
      "Find the nodes through the platform", "URL"},
     {"node", 0, 0, G_OPTION_ARG_STRING, &status_node,
      "Find the nodes through one of them", "URL"},
+    {"metrics", 0, 0, G_OPTION_ARG_STRING_ARRAY, &status_metrics,
+     "Read the metrics of a node on the users' platform instead; repeat for "
+     "each node",
+     "URL"},
     {"json", 0, 0, G_OPTION_ARG_NONE, &status_json, "Print JSON", NULL},
     {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
 
@@ -127,10 +133,15 @@
                     "Exit status: 0 printed, 2 bad arguments, 3 neither the "
                     "platform nor the node responds.",
                     "lav-status") ||
-        (status_platform == NULL && status_node == NULL)) {
-        fprintf(stderr, "lav-status: name --platform or --node\n");
+        (status_platform == NULL && status_node == NULL &&
+         status_metrics == NULL)) {
+        fprintf(stderr, "lav-status: name --platform or --node, or "
+                        "--metrics\n");
         return TOOL_USAGE;
     }
+    if (status_metrics != NULL) {
+        return status_workspaces_print(status_metrics, status_json);
+    }
     fleet *f = calloc(1, sizeof(*f));
     if (f == NULL || fleet_discover(f, status_platform, status_node, &e) < 0) {
         tool_print_error("lav-status", &e);
--- a/tests/integration/tools_test.c
+++ b/tests/integration/tools_test.c
@@ -52,6 +52,7 @@
     {"lav-status", {"--platform", platform_url}, 0, "pay-2"},
     {"lav-status", {"--node", node_url}, 0, "ready"},
     {"lav-status", {"--json", "--node", node_url}, 0, "\"counters\""},
+    {"lav-status", {"--metrics", NO_PLATFORM}, 3, "no response"},
     {"lav-explain", {"--node", node_url}, 2, "one request id"},
     {"lav-explain", {"--node", node_url, "1-unknownid"}, 1, ""},
     {"lav-explain", {"--node", node_url, request_text}, 0, "answered done"},
--- a/tests/unit/explain_test.c
+++ b/tests/unit/explain_test.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <unistd.h>
 
+#include "explain_verdict.h"
 #include "log_reader.h"
 
 #define COUNT(list) (sizeof(list) / sizeof((list)[0]))
@@ -95,6 +96,59 @@
     log_reader_free(logs);
 }
 
+typedef struct verdict_case {
+    const char *line; /* the last one of the request */
+    const char *verdict;
+} verdict_case;
+
+static const verdict_case verdict_cases[] = {
+    {"{\"event\":\"answer\",\"status\":503,\"reason\":\"early_refusal\","
+     "\"process\":\"a\"}",
+     ""},
+    {"{\"event\":\"served\",\"status\":200,\"process\":\"a\","
+     "\"workspace\":\"alpha\"}",
+     "workspace alpha, status 200, at a"},
+    {"{\"event\":\"answer\",\"status\":429,\"reason\":\"over_cap\","
+     "\"process\":\"a\",\"workspace\":\"alpha\",\"desired\":7}",
+     "workspace alpha, status 429, refused by cap: used up over all nodes, at "
+     "a, desired state 7"},
+    {"{\"event\":\"answer\",\"status\":503,\"reason\":\"cap_unchecked\","
+     "\"process\":\"a\",\"workspace\":\"alpha\",\"desired\":7}",
+     "workspace alpha, status 503, refused by cap: nobody could say whether "
+     "it is used up, at a, desired state 7"},
+    {"{\"event\":\"answer\",\"status\":503,\"reason\":\"early_refusal\","
+     "\"process\":\"a\",\"workspace\":\"alpha\",\"desired\":7}",
+     "workspace alpha, status 503, refused by share: overload leaves less for "
+     "its priority and workspace, at a, desired state 7"},
+    {"{\"event\":\"answer\",\"status\":401,\"reason\":\"unknown_key\","
+     "\"process\":\"a\",\"desired\":7}",
+     "no workspace, status 401, refused by key: no desired state that may be "
+     "in force has it, at a, desired state 7"},
+    {"{\"event\":\"answer\",\"status\":503,\"reason\":"
+     "\"key_not_confirmed\",\"process\":\"a\",\"desired\":7}",
+     "no workspace, status 503, refused by key: unknown here, and a newer "
+     "desired state may have it, at a, desired state 7"},
+    {"{\"event\":\"answer\",\"status\":504,\"reason\":\"deadline\","
+     "\"process\":\"a\",\"workspace\":\"alpha\",\"desired\":7}",
+     "workspace alpha, status 504, at a, desired state 7"},
+    {"{\"event\":\"door\",\"process\":\"b\",\"workspace\":\"alpha\"}", ""},
+};
+
+Test(explain, the_workspace_and_what_refused_it)
+{
+    for (size_t i = 0; i < COUNT(verdict_cases); i++) {
+        char verdict[EXPLAIN_VERDICT_SIZE];
+        json_t *lines = json_array();
+        json_array_append_new(lines, json_pack("{s:s}", "event", "attempt"));
+        json_array_append_new(lines,
+                              json_loads(verdict_cases[i].line, 0, NULL));
+        explain_verdict(verdict, sizeof(verdict), lines);
+        cr_expect_str_eq(verdict, verdict_cases[i].verdict, "case %zu: %s", i,
+                         verdict);
+        json_decref(lines);
+    }
+}
+
 Test(explain, a_missing_log)
 {
     log_reader *logs = NULL;
