--- a/src/flow/frontend_private.h
+++ b/src/flow/frontend_private.h
@@ -77,6 +77,8 @@
 void frontend_cancel_attempt(frontend_request *q);
 void frontend_respond_error(frontend_request *q, int status,
                             enum reason reason);
+void frontend_count_end(const frontend_request *q,
+                        enum workspace_outcome outcome);
 void frontend_finish_request(frontend_request *q);
 void frontend_start_attempt(frontend_request *q);
 void frontend_admit_request(frontend_request *q);
--- a/src/flow/frontend_request.c
+++ b/src/flow/frontend_request.c
@@ -60,6 +60,19 @@
     server_conn_end_response(s);
 }
 
+/* Counts the end of a request for its workspace, if it has one.  Without
+ * memory for the counts nothing is counted. */
+void
+frontend_count_end(const frontend_request *q, enum workspace_outcome outcome)
+{
+    runtime *n = q->n;
+    if (q->r.workspace == WORKSPACE_NONE || q->identity.exempt ||
+        (n->ended == NULL && workspace_counts_new(&n->ended) < 0)) {
+        return;
+    }
+    workspace_counts_add(n->ended, q->r.workspace, outcome);
+}
+
 /* Responds with an error of the node itself.  A 503 or 429 states that the
  * request has not run and never will, and carries Retry-After.  Nor has a
  * request run that gets a 401. */
@@ -73,6 +86,7 @@
     bool not_run = refused || status == HTTP_STATUS_UNAUTHORIZED;
     counter_add(not_run ? COUNTER_NOT_RUN : COUNTER_UNKNOWN, 1);
     frontend_log_error_response(q, status, reason);
+    frontend_count_end(q, workspace_outcome_of(reason));
     if (refused) {
         usage_gate_return(&q->usage);
         int64_t after_us = q->r.retry_after_us > 0
