standins: requests are handled on threads that run already

The stand-ins of targets and platform started a thread for each connection, and a node opens a connection for each call that is not idempotent. On a busy machine a new thread may wait for a processor for longer than the callers of such a call do: in a failed run of once/no_fault two payments began 1.7 and 2.0 s after they were sent, both at the same time at one target, while it served others; a plain program that measures it found 60 of 7,900 new threads late by over 0.1 s, of 79,700 sleeps of threads that ran already 3.

Requests are now read by one thread and handled by those of a pool that keeps some to spare. The harness of the other tests had such threads; both use the same pool.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -1,8 +1,8 @@
 /*
  * harness: runs a deployment of lav-platform-node for the platform's tests.
- * The store and the targets are stand-ins in this process, with one thread
- * for each connection; the nodes are separate processes.  Node N has target N
- * beside it.
+ * The store and the targets are stand-ins in this process, which serve all
+ * connections at the same time; the nodes are separate processes.  Node N has
+ * target N beside it.
  */
 #ifndef LAV_HARNESS_H
 #define LAV_HARNESS_H
--- a/tests/integration/harness_io.c
+++ b/tests/integration/harness_io.c
@@ -12,6 +12,7 @@
 
 #include "harness_private.h"
 #include "lav/clock.h"
+#include "thread_pool.h"
 
 typedef struct harness_listener {
     int fd;
@@ -19,68 +20,29 @@
     harness_serve_cb serve;
 } harness_listener;
 
-/* Threads kept for connections to come.  On a busy machine a new thread may wait
- * for seconds until it runs, which must not hold up a request. */
-#define HARNESS_SPARE_THREADS 16
+/* Threads that serve connections; made at the first harness_listen(). */
+static thread_pool *harness_threads;
+static pthread_once_t harness_threads_once = PTHREAD_ONCE_INIT;
 
-/* Accepted connections that no thread serves yet. */
-static GQueue harness_accepted = G_QUEUE_INIT;
-static guint harness_free_threads; /* start, or wait for a connection */
-static pthread_mutex_t harness_accepted_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t harness_accepted_cond = PTHREAD_COND_INITIALIZER;
-
-/* The next accepted connection; waits for one. */
-static harness_listener *
-harness_take_connection(void)
-{
-    pthread_mutex_lock(&harness_accepted_lock);
-    while (g_queue_is_empty(&harness_accepted)) {
-        pthread_cond_wait(&harness_accepted_cond, &harness_accepted_lock);
-    }
-    harness_free_threads--;
-    harness_listener *c = g_queue_pop_head(&harness_accepted);
-    pthread_mutex_unlock(&harness_accepted_lock);
-    return c;
-}
-
-/* Thread that serves connections, one after the other. */
-static void *
-harness_connection_main(void *payload)
+/* Make the threads that serve connections; aborts when that fails. */
+static void
+harness_init_threads(void)
 {
-    for (;;) {
-        harness_listener *c = harness_take_connection();
-        c->serve(c->fd, c->index);
-        close(c->fd);
-        free(c);
-        pthread_mutex_lock(&harness_accepted_lock);
-        harness_free_threads++;
-        pthread_mutex_unlock(&harness_accepted_lock);
+    err e = ERR_INIT;
+    if (thread_pool_new(&harness_threads, &e) < 0) {
+        fprintf(stderr, "harness: %s\n", e.message);
+        abort();
     }
-    return payload;
 }
 
-/* Have a connection served by the first thread that is free, and start threads
- * if too few are. */
+/* Serve one connection; a job of the threads. */
 static void
-harness_add_connection(harness_listener *c)
+harness_serve_connection(void *payload)
 {
-    pthread_mutex_lock(&harness_accepted_lock);
-    g_queue_push_tail(&harness_accepted, c);
-    guint wanted = harness_accepted.length + HARNESS_SPARE_THREADS;
-    guint missing =
-        wanted > harness_free_threads ? wanted - harness_free_threads : 0;
-    harness_free_threads += missing;
-    pthread_cond_signal(&harness_accepted_cond);
-    pthread_mutex_unlock(&harness_accepted_lock);
-    for (guint i = 0; i < missing; i++) {
-        pthread_t thread;
-        if (pthread_create(&thread, NULL, harness_connection_main, NULL) !=
-            0) {
-            fprintf(stderr, "harness: no thread for this connection\n");
-            abort();
-        }
-        pthread_detach(thread);
-    }
+    harness_listener *c = payload;
+    c->serve(c->fd, c->index);
+    close(c->fd);
+    free(c);
 }
 
 /* Thread of a listener: accepts connections until the descriptor is closed.
@@ -104,7 +66,12 @@
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         harness_listener *c = malloc(sizeof(*c));
         *c = (harness_listener){fd, l->index, l->serve};
-        harness_add_connection(c);
+        err e = ERR_INIT;
+        if (thread_pool_run(harness_threads, harness_serve_connection, c, &e) <
+            0) {
+            fprintf(stderr, "harness: %s\n", e.message);
+            abort();
+        }
     }
 }
 
@@ -127,6 +94,7 @@
         perror("pfr_listen");
         abort();
     }
+    pthread_once(&harness_threads_once, harness_init_threads);
     harness_listener *l = malloc(sizeof(*l));
     *l = (harness_listener){fd, index, serve};
     pthread_t thread;
--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -1,6 +1,6 @@
 /*
  * harness_private: what the parts of the harness share: the listener that
- * serves a port with one thread for each connection, reading and writing of
+ * serves a port, all connections at the same time, reading and writing of
  * HTTP messages, and the two stand-ins.
  */
 #ifndef LAV_HARNESS_PRIVATE_H
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -1,6 +1,8 @@
 /*
  * Small HTTP server shared by the stand-ins for the platform and the targets,
- * with one thread for each connection, and helpers that send responses.
+ * and helpers that send responses.  Requests are handled at the same time, on
+ * threads that run already: on a busy machine a thread started for a request
+ * might begin it seconds later.
  */
 #ifndef LAV_STANDIN_H
 #define LAV_STANDIN_H
@@ -13,8 +15,11 @@
 
 #define STANDIN_PATH_SIZE 512
 
+typedef struct standin_state standin_state;
+
 /* One request; the body ends with a NUL. */
 typedef struct standin_request {
+    standin_state *state;
     struct MHD_Connection *connection;
     const char *method;
     char path[STANDIN_PATH_SIZE]; /* with the query */
