usage_gate: nodes that answer for another target may own slots

A member is now left out only if its node could not be reached, or did not answer a probe; calls go by the old mark, as before.

--- a/include/lav/instance.h
+++ b/include/lav/instance.h
@@ -160,6 +160,9 @@
                           int64_t leaving_cutoff_us, int64_t now_us);
 void instance_mark_unreachable(instance_table *table, int handle,
                                int64_t now_us);
+void instance_mark_replaced(instance_table *table, int handle, int64_t now_us);
+void instance_note_silent(instance_table *table, int handle);
+bool instance_is_node_silent(const instance_table *table, int handle);
 int instance_next_to_probe(instance_table *table, int64_t now_us);
 int instance_next_leaving_to_probe(instance_table *table, int64_t now_us);
 bool instance_is_any_leaving(const instance_table *table);
--- a/src/core/instance.c
+++ b/src/core/instance.c
@@ -329,13 +329,11 @@
     instance_apply_note(table, handle);
 }
 
-/* Records that the node could not be reached, or that another instance
- * answered.  The instance gets no call while there are others, until its node
- * has answered a probe. */
-void
-instance_mark_unreachable(instance_table *table, int handle, int64_t now_us)
+/* Delays the next call and the next probe of an instance, longer with each
+ * one. */
+static void
+instance_back_off(instance_entry *entry, int64_t now_us)
 {
-    instance_entry *entry = &table->entries[handle];
     int64_t backoff_us = INSTANCE_BACKOFF_MIN_US;
     for (int i = 0;
          i < entry->failed_tries && backoff_us < INSTANCE_BACKOFF_MAX_US;
@@ -350,6 +348,39 @@
     }
 }
 
+/* Records that the node could not be reached.  The instance gets no call while
+ * there are others, until its node has answered a probe. */
+void
+instance_mark_unreachable(instance_table *table, int handle, int64_t now_us)
+{
+    table->entries[handle].node_answers = false;
+    instance_back_off(&table->entries[handle], now_us);
+}
+
+/* Records that the node answered, but for another instance.  It gets no call
+ * while there are others, until its node has answered a probe. */
+void
+instance_mark_replaced(instance_table *table, int handle, int64_t now_us)
+{
+    table->entries[handle].node_answers = true;
+    instance_back_off(&table->entries[handle], now_us);
+}
+
+/* Records that the node of an instance that gets no call didn't answer. */
+void
+instance_note_silent(instance_table *table, int handle)
+{
+    table->entries[handle].node_answers = false;
+}
+
+/* Whether the node of an instance could not be reached lately. */
+bool
+instance_is_node_silent(const instance_table *table, int handle)
+{
+    const instance_entry *entry = &table->entries[handle];
+    return entry->known && entry->awaiting_probe && !entry->node_answers;
+}
+
 /* Returns the handle of an unreachable instance whose node is due for a probe,
  * or INSTANCE_NONE.  The time until its next probe grows with each one. */
 int
@@ -359,7 +390,7 @@
         const instance_entry *entry = &table->entries[i];
         if (entry->known && entry->awaiting_probe &&
             now_us >= entry->retry_at_us) {
-            instance_mark_unreachable(table, i, now_us);
+            instance_back_off(&table->entries[i], now_us);
             return i;
         }
     }
--- a/src/core/instance_private.h
+++ b/src/core/instance_private.h
@@ -20,6 +20,7 @@
     int failed_tries;      /* consecutive, to reach its node */
     int64_t retry_at_us;
     bool awaiting_probe; /* gets no calls until its node answers a probe */
+    bool node_answers;   /* it does, but for another instance */
     int64_t unreachable_since_us;
     bool leaving; /* as its instance has said in a response */
     int64_t leaving_cutoff_us;
--- a/src/flow/forward.c
+++ b/src/flow/forward.c
@@ -212,8 +212,7 @@
     }
     if (f->response.reason == REASON_NO_TARGET &&
         f->response.report.state == INSTANCE_READY) {
-        /* The peer's target is another instance than its record says. */
-        prober_mark_unreachable(f->n->prober, f->member);
+        prober_mark_replaced(f->n->prober, f->member);
     }
     runtime_merge_levels(f->n, &f->response.levels);
     if (f->response.outcome == OUTCOME_DONE && f->response.own_level > 0) {
--- a/src/flow/prober.c
+++ b/src/flow/prober.c
@@ -116,6 +116,9 @@
         }
     }
     else if (member != INSTANCE_NONE) {
+        if (response->result != HTTP_ASYNC_COMPLETE) {
+            instance_note_silent(n->fleet, member);
+        }
         prober_remove_if_expired(n, member);
     }
     free(q);
@@ -208,18 +211,33 @@
     ev_timer_start(p->n->l->loop, &p->timer);
 }
 
-/* Marks a member as unreachable, or as having another instance than its record
- * says, and starts to probe it. */
-void
-prober_mark_unreachable(prober *p, int member)
+/* Logs that an instance gets no calls from now on. */
+static void
+prober_log_lost(const runtime *n, int member)
 {
-    runtime *n = p->n;
     const instance_record *record = instance_get(n->fleet, member);
     if (record != NULL &&
         instance_unreachable_for_us(n->fleet, member, n->l->now_us) < 0) {
         log_event(LOG_WARN, "member_lost", NULL, "{s:s,s:s}", "node",
                   record->node, "instance", record->instance);
     }
-    instance_mark_unreachable(n->fleet, member, n->l->now_us);
-    ev_timer_start(n->l->loop, &p->timer);
+}
+
+/* Marks a member as unreachable and starts to probe it. */
+void
+prober_mark_unreachable(prober *p, int member)
+{
+    prober_log_lost(p->n, member);
+    instance_mark_unreachable(p->n->fleet, member, p->n->l->now_us);
+    ev_timer_start(p->n->l->loop, &p->timer);
+}
+
+/* Marks a member as having another instance than its record says, and starts
+ * to probe it. */
+void
+prober_mark_replaced(prober *p, int member)
+{
+    prober_log_lost(p->n, member);
+    instance_mark_replaced(p->n->fleet, member, p->n->l->now_us);
+    ev_timer_start(p->n->l->loop, &p->timer);
 }
--- a/src/flow/prober.h
+++ b/src/flow/prober.h
@@ -17,5 +17,6 @@
 void prober_free(prober *p);
 void prober_watch_leaving(prober *p);
 void prober_mark_unreachable(prober *p, int member);
+void prober_mark_replaced(prober *p, int member);
 
 #endif
--- a/src/flow/usage_gate.c
+++ b/src/flow/usage_gate.c
@@ -351,9 +351,8 @@
         if (record == NULL) {
             continue;
         }
-        usage_member member = {
-            id_hash(record->node),
-            instance_unreachable_for_us(n->fleet, i, n->l->now_us) < 0};
+        usage_member member = {id_hash(record->node),
+                               !instance_is_node_silent(n->fleet, i)};
         self_known = self_known || member.id == self;
         g_array_append_val(members, member);
         g_hash_table_insert(gate->addresses,
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -354,6 +354,58 @@
     instance_free(fleet);
 }
 
+/* A node is silent from a call that doesn't reach it, or an unanswered probe,
+ * until a probe is answered; not if it answered for another instance. */
+Test(flow, a_node_that_answers_for_another_instance_is_not_silent)
+{
+    enum event {
+        REPLACED,
+        UNREACHABLE,
+        PROBE_LOST,
+        FOUND
+    };
+    static const struct {
+        enum event events[2];
+        bool silent;
+        bool gets_calls;
+    } cases[] = {
+        {{REPLACED, REPLACED}, false, false},
+        {{REPLACED, PROBE_LOST}, true, false},
+        {{REPLACED, UNREACHABLE}, true, false},
+        {{UNREACHABLE, UNREACHABLE}, true, false},
+        {{UNREACHABLE, REPLACED}, false, false},
+        {{UNREACHABLE, FOUND}, false, true},
+        {{REPLACED, FOUND}, false, true},
+    };
+    for (size_t i = 0; i < COUNT(cases); i++) {
+        instance_table *fleet = NULL;
+        instance_record record = member("n0", "here");
+        cr_assert_eq(instance_new(&fleet, 1), 0);
+        cr_assert(instance_update(fleet, &record));
+        for (int j = 0; j < 2; j++) {
+            switch (cases[i].events[j]) {
+            case REPLACED:
+                instance_mark_replaced(fleet, 0, 1000);
+                break;
+            case UNREACHABLE:
+                instance_mark_unreachable(fleet, 0, 1000);
+                break;
+            case PROBE_LOST:
+                instance_note_silent(fleet, 0);
+                break;
+            case FOUND:
+                instance_mark_reachable(fleet, 0);
+                break;
+            }
+        }
+        cr_expect_eq(instance_is_node_silent(fleet, 0), cases[i].silent, "%zu",
+                     i);
+        cr_expect_eq(instance_unreachable_for_us(fleet, 0, 2000) < 0,
+                     cases[i].gets_calls, "%zu", i);
+        instance_free(fleet);
+    }
+}
+
 typedef struct retries_case {
     bool refused[2]; /* as the instances of the service reported */
     int64_t age_us;  /* of the reports */
