usage: requests wait for the end of the hold, if they can

A node that starts lends nothing for as long as its earlier start may have lent, and refused all requests of workspaces with caps meanwhile but those of the last 0.25 s, though it knows when the hold ends. The same while an owner that was given up may still hold the share.

--- a/include/lav/usage_share.h
+++ b/include/lav/usage_share.h
@@ -26,7 +26,7 @@
 /* Time for which the largest number of members that was known counts. */
 #define USAGE_SHARE_MEMBERS_US 30000000
 
-/* Longest time for which a request waits for a share to be lent. */
+/* Time for which any request waits for a share to be lent. */
 #define USAGE_SHARE_WAIT_US 250000
 
 enum usage_decision {
@@ -75,11 +75,11 @@
 int usage_share_members(const usage_share *share);
 enum usage_decision usage_share_take(usage_token *out, int64_t *retry_after_us,
                                      usage_share *share, uint32_t workspace,
-                                     int64_t now_us);
+                                     int64_t patience_us, int64_t now_us);
 enum usage_decision usage_share_settle(usage_token *out,
                                        int64_t *retry_after_us,
                                        usage_share *share, uint32_t workspace,
-                                       int64_t now_us);
+                                       int64_t patience_us, int64_t now_us);
 void usage_share_cancel(usage_share *share, uint32_t workspace);
 void usage_share_return(usage_share *share, const usage_token *token,
                         int64_t now_us);
--- a/src/core/usage_share.c
+++ b/src/core/usage_share.c
@@ -302,11 +302,14 @@
     return true;
 }
 
-/* Decides on a request that has nothing in hand. */
+/* Decides on a request that has nothing in hand: it waits for an end that is
+ * known, if that comes within `patience_us`. */
 static enum usage_decision
 usage_share_refuse(int64_t *retry_after_us, const usage_share *share,
-                   usage_share_entry *entry, int64_t now_us)
+                   usage_share_entry *entry, int64_t patience_us,
+                   int64_t now_us)
 {
+    bool known = share->count > 0 && !share->stopping;
     int64_t closed_us =
         usage_share_closed_us(share, usage_cap_slot(entry->workspace), now_us);
     if (now_us < entry->paused_until_us) {
@@ -314,7 +317,7 @@
             MAX(entry->paused_until_us - now_us, USAGE_CAP_RETRY_MIN_US);
         return USAGE_OVER_CAP;
     }
-    if (closed_us > USAGE_SHARE_WAIT_US) {
+    if (!known || closed_us > MAX(USAGE_SHARE_WAIT_US, patience_us)) {
         *retry_after_us = closed_us;
         return USAGE_UNCHECKED;
     }
@@ -322,10 +325,11 @@
 }
 
 /* Takes one request of a workspace's cap.  USAGE_WAIT: it counts as waiting
- * until usage_share_settle() decides otherwise or it is cancelled. */
+ * until usage_share_settle() decides otherwise or it is cancelled.
+ * `patience_us` is the time for which a wait is of use to its caller. */
 enum usage_decision
 usage_share_take(usage_token *out, int64_t *retry_after_us, usage_share *share,
-                 uint32_t workspace, int64_t now_us)
+                 uint32_t workspace, int64_t patience_us, int64_t now_us)
 {
     usage_share_slot *slot = &share->slots[usage_cap_slot(workspace)];
     usage_share_entry *entry = usage_share_get_entry(share, workspace, now_us);
@@ -340,7 +344,7 @@
         return USAGE_GRANTED;
     }
     enum usage_decision decision =
-        usage_share_refuse(retry_after_us, share, entry, now_us);
+        usage_share_refuse(retry_after_us, share, entry, patience_us, now_us);
     if (decision == USAGE_WAIT) {
         entry->waiting++;
         if (!entry->due) {
@@ -355,7 +359,8 @@
  * answer or a failure; USAGE_WAIT: it waits on. */
 enum usage_decision
 usage_share_settle(usage_token *out, int64_t *retry_after_us,
-                   usage_share *share, uint32_t workspace, int64_t now_us)
+                   usage_share *share, uint32_t workspace, int64_t patience_us,
+                   int64_t now_us)
 {
     usage_share_entry *entry =
         g_hash_table_lookup(share->entries, GUINT_TO_POINTER(workspace));
@@ -373,7 +378,8 @@
         decision = entry->unknown ? USAGE_UNCHECKED : USAGE_OVER_CAP;
     }
     else {
-        decision = usage_share_refuse(retry_after_us, share, entry, now_us);
+        decision = usage_share_refuse(retry_after_us, share, entry,
+                                      patience_us, now_us);
     }
     entry->waiting -= decision == USAGE_WAIT ? 0 : 1;
     return decision;
--- a/src/flow/usage_gate.c
+++ b/src/flow/usage_gate.c
@@ -24,8 +24,10 @@
 /* Time for the answer to a message. */
 #define USAGE_GATE_TIMEOUT_US 250000
 
-/* Longest time for which a request waits. */
-#define USAGE_GATE_WAIT_MAX_US 500000
+/* Time for which any request waits, and longest time for which one does whose
+ * caller can wait longer. */
+#define USAGE_GATE_WAIT_US 500000
+#define USAGE_GATE_WAIT_MAX_US USAGE_CAP_LEASE_MAX_US
 
 /* Requests that wait for one slot, at most. */
 #define USAGE_GATE_WAITING_MAX 1024
@@ -174,11 +176,12 @@
         usage_gate_result *result = &request->result;
         next = link->next;
         *result = (usage_gate_result){.retry_after_us = CLOCK_US_PER_S};
-        result->decision =
-            usage_share_settle(&request->token, &result->retry_after_us,
-                               gate->share, request->workspace, now_us);
+        result->decision = usage_share_settle(
+            &request->token, &result->retry_after_us, gate->share,
+            request->workspace, request->patient_until_us - now_us, now_us);
         if (result->decision == USAGE_WAIT &&
-            now_us - request->since_us >= USAGE_GATE_WAIT_MAX_US) {
+            now_us >= MAX(request->since_us + USAGE_GATE_WAIT_US,
+                          request->patient_until_us)) {
             usage_share_cancel(gate->share, request->workspace);
             result->decision = USAGE_UNCHECKED;
         }
@@ -464,10 +467,12 @@
 }
 
 /* Takes one request of a workspace's cap.  USAGE_WAIT: `done` is called with
- * the decision, once and not from here, unless it is cancelled before. */
+ * the decision, once and not from here, unless it is cancelled before.
+ * `patience_us` is the time for which a wait is of use to its caller. */
 usage_gate_result
 usage_gate_take(usage_gate *gate, usage_gate_request *request,
-                uint32_t workspace, usage_gate_done_cb done, void *payload)
+                uint32_t workspace, int64_t patience_us,
+                usage_gate_done_cb done, void *payload)
 {
     usage_gate_result result = {.decision = USAGE_GRANTED};
     const struct workspace *entry = usage_gate_find(workspace, gate);
@@ -477,8 +482,10 @@
         return result;
     }
     usage_gate_check_clock(gate);
-    result.decision = usage_share_take(&request->token, &result.retry_after_us,
-                                       gate->share, workspace, now_us);
+    patience_us = MIN(patience_us, USAGE_GATE_WAIT_MAX_US);
+    result.decision =
+        usage_share_take(&request->token, &result.retry_after_us, gate->share,
+                         workspace, patience_us, now_us);
     if (result.decision == USAGE_WAIT &&
         g_queue_get_length(&gate->waiting[slot]) >= USAGE_GATE_WAITING_MAX) {
         usage_share_cancel(gate->share, workspace);
@@ -494,6 +501,7 @@
     gate->waited++;
     request->waiting = true;
     request->since_us = now_us;
+    request->patient_until_us = now_us + patience_us;
     request->done = done;
     request->payload = payload;
     request->immediate = &result;
--- a/src/flow/usage_gate.h
+++ b/src/flow/usage_gate.h
@@ -39,6 +39,7 @@
     bool taken; /* `token` may be given back */
     usage_token token;
     int64_t since_us;
+    int64_t patient_until_us;
     usage_gate_done_cb done;
     void *payload;
     usage_gate_result *immediate; /* where to store a decision at once */
@@ -52,8 +53,8 @@
 void usage_gate_configure(usage_gate *gate);
 usage_gate_result usage_gate_take(usage_gate *gate,
                                   usage_gate_request *request,
-                                  uint32_t workspace, usage_gate_done_cb done,
-                                  void *payload);
+                                  uint32_t workspace, int64_t patience_us,
+                                  usage_gate_done_cb done, void *payload);
 void usage_gate_cancel(usage_gate_request *request);
 void usage_gate_return(usage_gate_request *request);
 char *usage_gate_handle_query(usage_gate *gate, http_str path);
--- a/tests/property/usage_property.cpp
+++ b/tests/property/usage_property.cpp
@@ -22,6 +22,7 @@
 constexpr int64_t WINDOW_US = 5 * CLOCK_US_PER_S;
 constexpr int64_t TICK_US = 5 * MS;
 constexpr int64_t TIMEOUT_US = 250 * MS;
+constexpr int64_t PATIENCE_US = 1500 * MS; // of a request
 // What may be held or given back at a time, by the rule that the caps keep.
 constexpr int64_t AHEAD_US = 2 * USAGE_CAP_GRANT_US;
 
@@ -260,8 +261,8 @@
     int64_t retry_us = 0;
     int &parked = n.parked[id];
     while (parked > 0) {
-        switch (
-            usage_share_settle(&token, &retry_us, n.share, id, node_now(n))) {
+        switch (usage_share_settle(&token, &retry_us, n.share, id, PATIENCE_US,
+                                   node_now(n))) {
         case USAGE_GRANTED:
             note_begun(*n.w, id);
             break;
@@ -421,7 +422,8 @@
     if (!n.up || n.frozen_until_us > n.w->now_us) {
         return;
     }
-    switch (usage_share_take(&token, &retry_us, n.share, id, node_now(n))) {
+    switch (usage_share_take(&token, &retry_us, n.share, id, PATIENCE_US,
+                             node_now(n))) {
     case USAGE_GRANTED:
         if (n.w->chance() < shed) {
             usage_share_return(n.share, &token, node_now(n));
--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -9,6 +9,7 @@
 #include "usage_message.h"
 
 #define SELF 7U
+#define PATIENCE_US 0
 #define TIMER_US 50000 /* period of a node's timer */
 
 static workspace usage_caps[] = {
@@ -132,8 +133,9 @@
     int64_t retry_us = 0;
     usage_message message;
     cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
-    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, 10000000),
-                 USAGE_UNCHECKED);
+    cr_expect_eq(
+        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, 10000000),
+        USAGE_UNCHECKED);
     cr_expect_gt(retry_us, 0);
     cr_expect_not(usage_share_poll(&message, share, 1, 10000000));
     usage_share_free(share);
@@ -156,10 +158,12 @@
     }
     enum usage_decision decision = USAGE_GRANTED;
     for (int i = 0; i < 20 && decision != USAGE_OVER_CAP; i++) {
-        decision = usage_share_take(&token, &retry_us, share, 1, now_us);
+        decision =
+            usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us);
         if (decision == USAGE_WAIT) {
             usage_exchange(share, owner, 1, now_us);
-            decision = usage_share_settle(&token, &retry_us, share, 1, now_us);
+            decision = usage_share_settle(&token, &retry_us, share, 1,
+                                          PATIENCE_US, now_us);
         }
         granted += decision == USAGE_GRANTED ? 1 : 0;
     }
@@ -170,11 +174,13 @@
         usage_exchange(share, owner, 1, now_us); /* renews the loan */
     }
     now_us = return_us;
-    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
-                 USAGE_WAIT);
+    cr_expect_eq(
+        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_WAIT);
     usage_exchange(share, owner, 1, now_us);
-    cr_expect_eq(usage_share_settle(&token, &retry_us, share, 1, now_us),
-                 USAGE_GRANTED);
+    cr_expect_eq(
+        usage_share_settle(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_GRANTED);
     usage_share_free(share);
     usage_owner_free(owner);
 }
@@ -193,18 +199,22 @@
     for (; now_us < 4 * CLOCK_US_PER_S; now_us += CLOCK_US_PER_S / 5) {
         usage_exchange(share, owner, 1, now_us);
     }
-    cr_assert_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
-                 USAGE_WAIT);
+    cr_assert_eq(
+        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_WAIT);
     usage_exchange(share, owner, 1, now_us);
-    cr_assert_eq(usage_share_settle(&token, &retry_us, share, 1, now_us),
-                 USAGE_GRANTED);
+    cr_assert_eq(
+        usage_share_settle(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_GRANTED);
     usage_share_return(share, &token, now_us);
-    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
-                 USAGE_GRANTED, "it is in hand");
+    cr_expect_eq(
+        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_GRANTED, "it is in hand");
     usage_share_return(share, &token, now_us);
     now_us += USAGE_CAP_GRANT_US;
-    cr_expect_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
-                 USAGE_WAIT, "it has expired");
+    cr_expect_eq(
+        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_WAIT, "it has expired");
     usage_share_free(share);
     usage_owner_free(owner);
 }
@@ -226,10 +236,12 @@
     } cases[] = {{2, USAGE_GRANTED}, {3, USAGE_UNCHECKED}};
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         uint32_t id = cases[i].workspace;
-        cr_assert_eq(usage_share_take(&token, &retry_us, share, id, now_us),
+        cr_assert_eq(usage_share_take(&token, &retry_us, share, id,
+                                      PATIENCE_US, now_us),
                      USAGE_WAIT);
         usage_exchange(share, owner, usage_cap_slot(id), now_us);
-        cr_expect_eq(usage_share_settle(&token, &retry_us, share, id, now_us),
+        cr_expect_eq(usage_share_settle(&token, &retry_us, share, id,
+                                        PATIENCE_US, now_us),
                      cases[i].decision);
     }
     usage_share_free(share);
@@ -247,11 +259,54 @@
     cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
     cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
     usage_share_set_members(share, &self, 1, 0);
-    cr_assert_eq(usage_share_take(&token, &retry_us, share, 1, now_us),
-                 USAGE_WAIT);
+    cr_assert_eq(
+        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_WAIT);
     usage_exchange(share, owner, 1, now_us);
-    cr_expect_eq(usage_share_settle(&token, &retry_us, share, 1, now_us),
-                 USAGE_OVER_CAP);
+    cr_expect_eq(
+        usage_share_settle(&token, &retry_us, share, 1, PATIENCE_US, now_us),
+        USAGE_OVER_CAP);
     usage_share_free(share);
     usage_owner_free(owner);
 }
+
+/* What a request meets that comes while the node may not lend yet.  Times are
+ * since the node's start; the hold ends at 505 ms. */
+static const struct usage_hold_case {
+    const char *what;
+    int64_t at_us;
+    int64_t patience_us;
+    bool members_known;
+    bool stopping;
+    enum usage_decision decision;
+} usage_hold_cases[] = {
+    {"waits for the end", 100000, 405000, true, false, USAGE_WAIT},
+    {"can't wait for it", 100000, 404000, true, false, USAGE_UNCHECKED},
+    {"nearly over", 300000, 0, true, false, USAGE_WAIT},
+    {"no end is known", 100000, 4000000, false, false, USAGE_UNCHECKED},
+    {"the node stops", 600000, 4000000, true, true, USAGE_UNCHECKED},
+};
+
+Test(usage, requests_wait_for_the_end_of_the_hold_if_they_can)
+{
+    for (size_t i = 0;
+         i < sizeof(usage_hold_cases) / sizeof(usage_hold_cases[0]); i++) {
+        const struct usage_hold_case *c = &usage_hold_cases[i];
+        usage_share *share = NULL;
+        usage_token token;
+        int64_t retry_us = 0;
+        usage_member self = {SELF, true};
+        cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
+        if (c->members_known) {
+            usage_share_set_members(share, &self, 1, 0);
+        }
+        if (c->stopping) {
+            usage_share_stop(share);
+        }
+        cr_expect_eq(usage_share_take(&token, &retry_us, share, 1,
+                                      c->patience_us, c->at_us),
+                     c->decision, "%s", c->what);
+        cr_expect_gt(retry_us, 0, "%s", c->what);
+        usage_share_free(share);
+    }
+}
