usage_owner: begin with what accrued while nobody granted anything

After a start of all nodes the owners' buckets were empty.

An ask now states since when nobody but this owner's epoch has let the sender begin requests: since its start, or until what another owner granted ran out. It is counted from a stamp taken after that time, and so never too early. Once all shares are lent to an owner whose slot was empty before, and all lenders state this, whatever was used since the latest of these times was granted here, and the whole rate has accrued since. A bucket gets that, less what it would have overflowed.

Shares come one after the other: for 0.5 s after the first one an owner says that it settles, and what it doesn't grant waits instead of being refused. An owner or a node of the former version neither says nor states anything, and the messages are as before then; also once a slot has settled.

Property tests: all nodes or all but some start again, several times in a row, with buckets drained right before; and what a bucket would let through that was empty at the last start is begun.

--- a/include/lav/usage_cap.h
+++ b/include/lav/usage_cap.h
@@ -36,6 +36,10 @@
 /* Longest time for which a share is lent with one message. */
 #define USAGE_CAP_LEASE_MAX_US 4000000
 
+/* Time after the first share was lent to an owner during which it expects the
+ * others, as after a start of all nodes. */
+#define USAGE_CAP_SETTLE_US 500000
+
 /* Delays after which an owner lets a node ask again for a workspace whose cap
  * is used up: this for each message a second that asks for it, and at most the
  * second. */
@@ -62,6 +66,8 @@
     int64_t until_us;  /* owner's clock; up to here the share is lent */
     int members;       /* nodes that the sender divides the caps among */
     uint64_t version;  /* of the sender's desired state */
+    int64_t quiet_us;  /* owner's clock: since then nobody but this owner's
+                          epoch let the sender begin requests; 0: unknown */
     int count;
     usage_want wants[USAGE_CAP_WANTS_MAX];
 } usage_ask;
@@ -79,6 +85,7 @@
     int64_t stamp_us; /* when the ask was handled */
     uint64_t version; /* of the owner's desired state */
     bool leaving;     /* the owner stops soon */
+    bool settling;    /* shares that are missing may still come */
     int count;        /* 0 if nothing was lent */
     usage_grant grants[USAGE_CAP_WANTS_MAX];
 } usage_answer;
--- a/src/core/usage_owner.c
+++ b/src/core/usage_owner.c
@@ -23,6 +23,7 @@
     uint64_t id;
     uint64_t sequence;
     double share;     /* 0 to 1; 0: taken back */
+    int64_t quiet_us; /* usage_ask.quiet_us */
     int64_t until_us; /* share, or entry if it is 0, ends here */
 } usage_owner_lender;
 
@@ -32,15 +33,20 @@
     double capacity; /* if all shares were lent */
     double tokens;
     double filled; /* usage_owner_slot.accrued at the last update */
+    double room;   /* least distance from `capacity` since the first share */
     double asks_per_s;
     int64_t asked_us;
 } usage_owner_bucket;
 
 typedef struct usage_owner_slot {
-    GArray *lenders; /* usage_owner_lender */
-    double share;    /* sum over the lenders, at most 1 */
-    double accrued;  /* integral of `share` over time, in seconds */
-    double fallen;   /* `accrued` when `share` last fell */
+    GArray *lenders;        /* usage_owner_lender */
+    double share;           /* sum over the lenders, at most 1 */
+    double accrued;         /* integral of `share` over time, in seconds */
+    double fallen;          /* `accrued` when `share` last fell */
+    double lent;            /* `accrued` when the first share was lent */
+    int64_t empty_until_us; /* when it was lent */
+    int64_t empty_from_us;  /* when there was none, before that */
+    bool credited;          /* usage_owner_credit() is done, or given up */
     int64_t updated_us;
     int64_t next_end_us; /* earliest end of a lender's entry */
     GHashTable *buckets; /* workspace id -> usage_owner_bucket */
@@ -131,6 +137,7 @@
     bucket->tokens += bucket->rate_per_s * (slot->accrued - bucket->filled);
     bucket->tokens = MIN(bucket->tokens, bucket->capacity * slot->share);
     bucket->filled = slot->accrued;
+    bucket->room = MIN(bucket->room, bucket->capacity - bucket->tokens);
 }
 
 /* Sets the sum of the shares and limits all buckets to it. */
@@ -152,6 +159,23 @@
     }
 }
 
+/* The first share is lent to a slot that had none: no bucket holds a token. */
+static void
+usage_owner_begin(usage_owner_slot *slot)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    slot->lent = slot->accrued;
+    slot->empty_until_us = slot->updated_us;
+    slot->credited = false;
+    g_hash_table_iter_init(&iter, slot->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        usage_owner_bucket *bucket = value;
+        usage_owner_fill(bucket, slot);
+        bucket->room = bucket->capacity;
+    }
+}
+
 /* Recomputes the sum of the shares and the next end from the lenders. */
 static void
 usage_owner_sum(usage_owner_slot *slot)
@@ -164,6 +188,12 @@
         share += lender->share;
         slot->next_end_us = MIN(slot->next_end_us, lender->until_us);
     }
+    if (share <= 0 && slot->share > 0) {
+        slot->empty_from_us = slot->updated_us;
+    }
+    else if (share > 0 && slot->share <= 0) {
+        usage_owner_begin(slot);
+    }
     usage_owner_set_share(slot, MIN(share, 1));
 }
 
@@ -196,6 +226,52 @@
     usage_owner_accrue(slot, now_us);
 }
 
+/* Whether shares, or statements of the lenders, that are missing may still
+ * come. */
+static bool
+usage_owner_is_settling(const usage_owner_slot *slot, int64_t now_us)
+{
+    return slot->share <= 0 ||
+           (!slot->credited &&
+            now_us < slot->empty_until_us + USAGE_CAP_SETTLE_US);
+}
+
+/* Adds to all buckets what accrued while the shares were lent to nobody, once
+ * all of them are lent.  If all lenders have begun no request but those granted
+ * here since some time, this owner has granted all that was used since then,
+ * and the whole rate has accrued since.  A bucket that was full meanwhile is
+ * given that much less. */
+static void
+usage_owner_credit(usage_owner_slot *slot, int64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer value = NULL;
+    int64_t quiet_us = slot->empty_from_us;
+    if (!usage_owner_is_settling(slot, now_us) ||
+        slot->share < 1 - USAGE_OWNER_SHARE_ERROR) {
+        return;
+    }
+    for (guint i = 0; i < slot->lenders->len; i++) {
+        const usage_owner_lender *lender =
+            &g_array_index(slot->lenders, usage_owner_lender, i);
+        if (lender->quiet_us <= 0) {
+            return;
+        }
+        quiet_us = MAX(quiet_us, lender->quiet_us);
+    }
+    double passed_s = (double)(now_us - quiet_us) / CLOCK_US_PER_S;
+    double credit_s = MAX(0, passed_s - (slot->accrued - slot->lent));
+    slot->credited = true;
+    g_hash_table_iter_init(&iter, slot->buckets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        usage_owner_bucket *bucket = value;
+        usage_owner_fill(bucket, slot);
+        bucket->tokens += MIN(bucket->rate_per_s * credit_s, bucket->room);
+        bucket->tokens = MIN(bucket->tokens, bucket->capacity * slot->share);
+    }
+    slot->fallen -= credit_s;
+}
+
 /* Takes the share that comes with a message, or takes it back.  Returns
  * whether the sender lends now: false for a message that was overtaken. */
 static bool
@@ -223,9 +299,11 @@
         .id = ask->lender,
         .sequence = ask->sequence,
         .share = lends ? 1. / MAX(ask->members, members) : 0,
+        .quiet_us = lends && ask->quiet_us <= now_us ? ask->quiet_us : 0,
         .until_us = lends ? MIN(ask->until_us, now_us + USAGE_CAP_LEASE_MAX_US)
                           : now_us + USAGE_CAP_LEASE_MAX_US};
     usage_owner_sum(slot);
+    usage_owner_credit(slot, now_us);
     return lends;
 }
 
@@ -255,6 +333,7 @@
             g_hash_table_foreach_remove(slot->buckets, usage_owner_is_unknown,
                                         owner);
             slot->fallen = slot->accrued;
+            slot->credited = true;
         }
         if (g_hash_table_size(slot->buckets) >= USAGE_OWNER_BUCKETS_MAX) {
             return NULL;
@@ -263,12 +342,14 @@
         bucket->rate_per_s = entry->rate_per_s;
         bucket->capacity = entry->burst + USAGE_CAP_SLACK;
         bucket->filled = slot->fallen;
+        bucket->room = bucket->capacity;
         g_hash_table_insert(slot->buckets, key, bucket);
     }
     usage_owner_fill(bucket, slot);
     bucket->rate_per_s = entry->rate_per_s;
     bucket->capacity = entry->burst + USAGE_CAP_SLACK;
     bucket->tokens = MIN(bucket->tokens, bucket->capacity * slot->share);
+    bucket->room = MIN(bucket->room, bucket->capacity - bucket->tokens);
     return bucket;
 }
 
@@ -315,6 +396,7 @@
         now_us - want->granted_us <= USAGE_CAP_GRANT_US) {
         bucket->tokens =
             MIN(bucket->tokens + want->back, bucket->capacity * slot->share);
+        bucket->room = MIN(bucket->room, bucket->capacity - bucket->tokens);
     }
     out->count = (int)MIN((double)want->count, floor(bucket->tokens));
     out->count = MAX(out->count, 0);
@@ -337,8 +419,10 @@
     out->leaving = owner->leaving;
     out->count = 0;
     usage_owner_advance(slot, now_us);
-    if (ask->epoch != owner->epoch ||
-        !usage_owner_lend(slot, ask, members, now_us)) {
+    bool lends = ask->epoch == owner->epoch &&
+                 usage_owner_lend(slot, ask, members, now_us);
+    out->settling = usage_owner_is_settling(slot, now_us);
+    if (!lends) {
         return;
     }
     for (int i = 0; i < ask->count; i++) {
--- a/src/core/usage_share.c
+++ b/src/core/usage_share.c
@@ -17,6 +17,9 @@
 /* A share is lent again after this part of the time it was lent for. */
 #define USAGE_SHARE_RENEW 0.4
 
+/* Delay before an owner that settles is asked again. */
+#define USAGE_SHARE_SETTLE_US 50000
+
 /* Part by which clocks of two hosts may run apart. */
 #define USAGE_SHARE_DRIFT_DIVISOR 100
 
@@ -58,7 +61,9 @@
     uint64_t member;
     uint64_t epoch;      /* 0: not known */
     int64_t stamp_us;    /* its clock */
+    int64_t sent_us;     /* own clock before the stamp was taken */
     int64_t received_us; /* own clock when the stamp came */
+    bool settling;
 } usage_share_contact;
 
 typedef struct usage_share_slot {
@@ -71,6 +76,10 @@
     int64_t lent_until_us;
     int64_t lent_before_us; /* lent_until_us before the last message */
     int64_t asked_us;
+    int64_t ask_from_us;      /* not before, while the owner settles */
+    uint64_t granted_by;      /* epoch of the owner that granted last */
+    int64_t quiet_from_us;    /* since then it alone has granted */
+    int64_t granted_until_us; /* up to here what it granted may begin */
     usage_share_avoided avoided[USAGE_SHARE_AVOIDED_MAX];
     int avoided_next;
     GQueue due; /* usage_share_entry */
@@ -109,6 +118,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     for (int i = 0; i < USAGE_CAP_SLOTS; i++) {
         g_queue_init(&share->slots[i].due);
+        share->slots[i].quiet_from_us = now_us;
     }
     *out = share;
     return 0;
@@ -447,6 +457,24 @@
     }
 }
 
+/* Returns since when only the owner's present epoch has granted requests that
+ * may begin here, on the owner's clock and rather too late; 0 if that is not
+ * known, or of no use to the owner. */
+static int64_t
+usage_share_quiet_us(const usage_share_slot *slot)
+{
+    const usage_share_contact *owner = &slot->owner;
+    int64_t from_us = slot->granted_by == owner->epoch
+                          ? slot->quiet_from_us
+                          : MAX(slot->quiet_from_us, slot->granted_until_us);
+    int64_t ago_us = owner->sent_us - from_us;
+    if (!owner->settling || ago_us < 0) {
+        return 0;
+    }
+    return MAX(owner->stamp_us - ago_us + ago_us / USAGE_SHARE_DRIFT_DIVISOR,
+               1);
+}
+
 /* Makes a message to a member.  One that lends states the end on the clock of
  * the owner, counted from its last stamp: that is never later than the end on
  * the clock of this node. */
@@ -468,6 +496,7 @@
     out->ask.until_us = 0;
     out->ask.members = usage_share_members(share);
     out->ask.version = 0;
+    out->ask.quiet_us = 0;
     out->ask.count = 0;
     if (kind == USAGE_MESSAGE_HELLO) {
         s->hello_pending = true;
@@ -482,6 +511,7 @@
         s->lent_until_us =
             MAX(s->lent_until_us,
                 now_us + lease_us + lease_us / USAGE_SHARE_DRIFT_DIVISOR);
+        out->ask.quiet_us = usage_share_quiet_us(s);
         usage_share_fill(&out->ask, s, now_us);
     }
 }
@@ -539,7 +569,8 @@
         return true;
     }
     int64_t lease_us = usage_cap_lease_us(usage_share_members(share));
-    if (g_queue_is_empty(&s->due) &&
+    bool due = !g_queue_is_empty(&s->due) && now_us >= s->ask_from_us;
+    if (!due &&
         now_us - s->asked_us <
             (int64_t)((double)lease_us * USAGE_SHARE_RENEW) &&
         s->lent_until_us > now_us) {
@@ -549,7 +580,20 @@
     return true;
 }
 
-/* Applies the answer for one workspace. */
+/* Notes that an owner granted requests that may begin until `until_us`. */
+static void
+usage_share_note_granted(usage_share_slot *slot, uint64_t epoch,
+                         int64_t until_us)
+{
+    if (slot->granted_by != epoch) {
+        slot->quiet_from_us = MAX(slot->quiet_from_us, slot->granted_until_us);
+        slot->granted_by = epoch;
+    }
+    slot->granted_until_us = MAX(slot->granted_until_us, until_us);
+}
+
+/* Applies the answer for one workspace.  What an owner that settles doesn't
+ * grant waits on. */
 static void
 usage_share_apply(usage_share *share, const usage_message *message,
                   const usage_answer *answer, const usage_grant *grant,
@@ -566,7 +610,7 @@
     if (entry->unknown) {
         entry->refused = asked;
     }
-    else if (grant->count < asked) {
+    else if (grant->count < asked && !answer->settling) {
         entry->refused = asked - grant->count;
         entry->paused_until_us = now_us + grant->wait_us;
     }
@@ -576,6 +620,8 @@
         entry->epoch = answer->epoch;
         entry->granted_us = answer->stamp_us;
         entry->expires_us = expires_us;
+        usage_share_note_granted(&share->slots[message->ask.slot],
+                                 answer->epoch, expires_us);
     }
 }
 
@@ -604,8 +650,9 @@
                      const usage_answer *answer, int64_t now_us)
 {
     usage_share_slot *s = &share->slots[message->ask.slot];
-    usage_share_contact contact = {message->to, answer->epoch,
-                                   answer->stamp_us, now_us};
+    usage_share_contact contact = {message->to,      answer->epoch,
+                                   answer->stamp_us, message->sent_us,
+                                   now_us,           answer->settling};
     if (message->kind == USAGE_MESSAGE_HELLO) {
         s->hello_pending = false;
         if (answer->leaving && message->to != share->self) {
@@ -624,6 +671,7 @@
         return;
     }
     s->owner = contact;
+    s->ask_from_us = answer->settling ? now_us + USAGE_SHARE_SETTLE_US : 0;
     if (answer->leaving && message->to != share->self) {
         usage_share_avoid(s, message->to, now_us);
     }
--- a/src/flow/usage_message.c
+++ b/src/flow/usage_message.c
@@ -14,6 +14,9 @@
 #define USAGE_MESSAGE_HEAD_NUMBERS 7
 #define USAGE_MESSAGE_WANT_NUMBERS 4
 
+/* Begins the number that says since when the sender was quiet. */
+#define USAGE_MESSAGE_QUIET 'q'
+
 /* Largest time stamp that is taken, in us: a clock that ran for 300 years. */
 #define USAGE_MESSAGE_STAMP_MAX_US INT64_C(9000000000000000)
 
@@ -26,6 +29,10 @@
                                        "/%" PRId64 "/%d/%" PRIu64,
                     ask->slot, ask->lender, ask->sequence, ask->epoch,
                     MAX(ask->until_us, 0), ask->members, ask->version);
+    if (ask->quiet_us > 0) {
+        bytebuf_appendf(out, "/%c%" PRId64, USAGE_MESSAGE_QUIET,
+                        ask->quiet_us);
+    }
     for (int i = 0; i < ask->count; i++) {
         const usage_want *want = &ask->wants[i];
         bytebuf_appendf(out, "/%" PRIu32 "/%d/%d/%" PRId64, want->workspace,
@@ -108,7 +115,17 @@
     out->until_us = (int64_t)numbers[4];
     out->members = (int)numbers[5];
     out->version = numbers[6];
+    out->quiet_us = 0;
     out->count = 0;
+    if (*text == USAGE_MESSAGE_QUIET) {
+        uint64_t quiet_us = 0;
+        text++;
+        if (usage_message_read_number(&quiet_us, &text,
+                                      USAGE_MESSAGE_STAMP_MAX_US) < 0) {
+            return ERR_INVALID;
+        }
+        out->quiet_us = (int64_t)quiet_us;
+    }
     while (*text != '\0') {
         if (out->count == USAGE_CAP_WANTS_MAX ||
             usage_message_read_want(&out->wants[out->count++], &text) < 0) {
@@ -134,6 +151,9 @@
                   "stamp_us", (json_int_t)answer->stamp_us, "version",
                   (json_int_t)answer->version, "leaving", answer->leaving,
                   "grants", grants);
+    if (answer->settling) {
+        json_object_set_new(value, "settling", json_true());
+    }
     char *text = json_dumps(value, JSON_COMPACT);
     json_decref(value);
     return text;
@@ -164,13 +184,14 @@
     json_int_t stamp_us = 0;
     json_int_t version = 0;
     int leaving = 0;
+    int settling = 0;
     json_t *grants = NULL;
     json_t *root = json_loadb(text, length, 0, NULL);
     int result = ERR_INVALID;
     if (root == NULL ||
-        json_unpack(root, "{s:I,s:I,s:I,s:b,s:o}", "epoch", &epoch, "stamp_us",
-                    &stamp_us, "version", &version, "leaving", &leaving,
-                    "grants", &grants) < 0 ||
+        json_unpack(root, "{s:I,s:I,s:I,s:b,s?b,s:o}", "epoch", &epoch,
+                    "stamp_us", &stamp_us, "version", &version, "leaving",
+                    &leaving, "settling", &settling, "grants", &grants) < 0 ||
         epoch <= 0 || version < 0 || stamp_us < 0 ||
         stamp_us > USAGE_MESSAGE_STAMP_MAX_US || !json_is_array(grants) ||
         json_array_size(grants) > USAGE_CAP_WANTS_MAX) {
@@ -180,6 +201,7 @@
     out->stamp_us = stamp_us;
     out->version = (uint64_t)version;
     out->leaving = leaving != 0;
+    out->settling = settling != 0;
     out->count = (int)json_array_size(grants);
     result = 0;
     for (int i = 0; i < out->count && result == 0; i++) {
