prober: ask a node at once that answers for another target

A node that starts again takes its target for a new one, and its peers hold the record of the earlier start until they read the next. A call that is sent by such a record is refused with no_target; the caller's node then asked for the record only 0.25 to 0.35 s later, and meanwhile sent its other calls elsewhere. After a start of all nodes this went on until the store was read again, a second after the start.

The record is now asked for at once, the first time. This concerns all deployments, whenever a node starts again beside a target that goes on.

--- a/src/core/instance.c
+++ b/src/core/instance.c
@@ -358,12 +358,18 @@
 }
 
 /* Records that the node answered, but for another instance.  It gets no call
- * while there are others, until its node has answered a probe. */
+ * while there are others, until its node has answered a probe, the first of
+ * which is due at once. */
 void
 instance_mark_replaced(instance_table *table, int handle, int64_t now_us)
 {
-    table->entries[handle].node_answers = true;
-    instance_back_off(&table->entries[handle], now_us);
+    instance_entry *entry = &table->entries[handle];
+    bool first = !entry->awaiting_probe;
+    entry->node_answers = true;
+    instance_back_off(entry, now_us);
+    if (first) {
+        entry->retry_at_us = now_us;
+    }
 }
 
 /* Records that the node of an instance that gets no call didn't answer. */
--- a/src/flow/prober.c
+++ b/src/flow/prober.c
@@ -148,6 +148,18 @@
     }
 }
 
+/* Probes the unreachable members that are due. */
+static void
+prober_probe_unreachable(prober *p)
+{
+    runtime *n = p->n;
+    int member = INSTANCE_NONE;
+    while ((member = instance_next_to_probe(n->fleet, n->l->now_us)) !=
+           INSTANCE_NONE) {
+        prober_send_probe(p, member);
+    }
+}
+
 /* Probes the members that are due; stops the timer once all are reachable and
  * none is leaving. */
 static void
@@ -158,10 +170,7 @@
     runtime *n = p->n;
     evloop_update_now(n->l);
     int member = INSTANCE_NONE;
-    while ((member = instance_next_to_probe(n->fleet, n->l->now_us)) !=
-           INSTANCE_NONE) {
-        prober_send_probe(p, member);
-    }
+    prober_probe_unreachable(p);
     while ((member = instance_next_leaving_to_probe(n->fleet, n->l->now_us)) !=
            INSTANCE_NONE) {
         prober_send_probe(p, member);
@@ -232,12 +241,13 @@
     ev_timer_start(p->n->l->loop, &p->timer);
 }
 
-/* Marks a member as having another instance than its record says, and starts
- * to probe it. */
+/* Marks a member as having another instance than its record says, and asks its
+ * node for the record. */
 void
 prober_mark_replaced(prober *p, int member)
 {
     prober_log_lost(p->n, member);
     instance_mark_replaced(p->n->fleet, member, p->n->l->now_us);
+    prober_probe_unreachable(p);
     ev_timer_start(p->n->l->loop, &p->timer);
 }
--- a/tests/unit/flow_test.c
+++ b/tests/unit/flow_test.c
@@ -368,14 +368,15 @@
         enum event events[2];
         bool silent;
         bool gets_calls;
+        bool probed_at_once;
     } cases[] = {
-        {{REPLACED, REPLACED}, false, false},
-        {{REPLACED, PROBE_LOST}, true, false},
-        {{REPLACED, UNREACHABLE}, true, false},
-        {{UNREACHABLE, UNREACHABLE}, true, false},
-        {{UNREACHABLE, REPLACED}, false, false},
-        {{UNREACHABLE, FOUND}, false, true},
-        {{REPLACED, FOUND}, false, true},
+        {{REPLACED, REPLACED}, false, false, false},
+        {{REPLACED, PROBE_LOST}, true, false, true},
+        {{REPLACED, UNREACHABLE}, true, false, false},
+        {{UNREACHABLE, UNREACHABLE}, true, false, false},
+        {{UNREACHABLE, REPLACED}, false, false, false},
+        {{UNREACHABLE, FOUND}, false, true, false},
+        {{REPLACED, FOUND}, false, true, false},
     };
     for (size_t i = 0; i < COUNT(cases); i++) {
         instance_table *fleet = NULL;
@@ -402,6 +403,8 @@
                      i);
         cr_expect_eq(instance_unreachable_for_us(fleet, 0, 2000) < 0,
                      cases[i].gets_calls, "%zu", i);
+        cr_expect_eq(instance_next_to_probe(fleet, 1000) == 0,
+                     cases[i].probed_at_once, "%zu", i);
         instance_free(fleet);
     }
 }
