--- a/src/flow/prober.c
+++ b/src/flow/prober.c
@@ -116,6 +116,9 @@
         }
     }
     else if (member != INSTANCE_NONE) {
+        if (response->result != HTTP_ASYNC_COMPLETE) {
+            instance_note_silent(n->fleet, member);
+        }
         prober_remove_if_expired(n, member);
     }
     free(q);
@@ -145,6 +148,18 @@
     }
 }
 
+/* Probes the unreachable members that are due. */
+static void
+prober_probe_unreachable(prober *p)
+{
+    runtime *n = p->n;
+    int member = INSTANCE_NONE;
+    while ((member = instance_next_to_probe(n->fleet, n->l->now_us)) !=
+           INSTANCE_NONE) {
+        prober_send_probe(p, member);
+    }
+}
+
 /* Probes the members that are due; stops the timer once all are reachable and
  * none is leaving. */
 static void
@@ -155,10 +170,7 @@
     runtime *n = p->n;
     evloop_update_now(n->l);
     int member = INSTANCE_NONE;
-    while ((member = instance_next_to_probe(n->fleet, n->l->now_us)) !=
-           INSTANCE_NONE) {
-        prober_send_probe(p, member);
-    }
+    prober_probe_unreachable(p);
     while ((member = instance_next_leaving_to_probe(n->fleet, n->l->now_us)) !=
            INSTANCE_NONE) {
         prober_send_probe(p, member);
@@ -208,18 +220,34 @@
     ev_timer_start(p->n->l->loop, &p->timer);
 }
 
-/* Marks a member as unreachable, or as having another instance than its record
- * says, and starts to probe it. */
-void
-prober_mark_unreachable(prober *p, int member)
+/* Logs that an instance gets no calls from now on. */
+static void
+prober_log_lost(const runtime *n, int member)
 {
-    runtime *n = p->n;
     const instance_record *record = instance_get(n->fleet, member);
     if (record != NULL &&
         instance_unreachable_for_us(n->fleet, member, n->l->now_us) < 0) {
         log_event(LOG_WARN, "member_lost", NULL, "{s:s,s:s}", "node",
                   record->node, "instance", record->instance);
     }
-    instance_mark_unreachable(n->fleet, member, n->l->now_us);
-    ev_timer_start(n->l->loop, &p->timer);
+}
+
+/* Marks a member as unreachable and starts to probe it. */
+void
+prober_mark_unreachable(prober *p, int member)
+{
+    prober_log_lost(p->n, member);
+    instance_mark_unreachable(p->n->fleet, member, p->n->l->now_us);
+    ev_timer_start(p->n->l->loop, &p->timer);
+}
+
+/* Marks a member as having another instance than its record says, and asks its
+ * node for the record. */
+void
+prober_mark_replaced(prober *p, int member)
+{
+    prober_log_lost(p->n, member);
+    instance_mark_replaced(p->n->fleet, member, p->n->l->now_us);
+    prober_probe_unreachable(p);
+    ev_timer_start(p->n->l->loop, &p->timer);
 }
