fair_share: a small workspace is judged by more than the few requests seen

A node sees one request of a small workspace in the ten seconds that it remembers. By that alone the workspace seems to ask for nothing or for many times its part, so that on average it got less than a large one, and its first request the level that all get, the hot one included. What a workspace asks for is estimated now from its requests together with what is usual for its weight (weighted median), as far as its requests are few and don't contradict that.

--- a/include/lav/fair_share.h
+++ b/include/lav/fair_share.h
@@ -7,7 +7,9 @@
  *
  * Load pattern: an overloaded service, and one workspace that sends many times
  * its usual, within its usage cap.  Shed in proportion to what they send, all
- * others would pay for it.
+ * others would pay for it.  And workspaces so small that a node sees one request
+ * of them in the time that it remembers: by their own few requests alone they
+ * would seem to ask for nothing, or for many times their part.
  */
 #ifndef LAV_FAIR_SHARE_H
 #define LAV_FAIR_SHARE_H
@@ -27,15 +29,23 @@
  * gets less than a quarter of it starves. */
 #define FAIR_SHARE_FLOOR 0.3
 
+/* Number of requests that the expectation of a workspace's demand, in
+ * proportion to its weight, counts as beside those that were seen. */
+#define FAIR_SHARE_PRIOR_REQUESTS 2.0
+
+/* Standard deviations from that expectation at which it counts half. */
+#define FAIR_SHARE_PRIOR_DEVIATIONS 3.0
+
 /* Weight of a workspace without a usage cap. */
 #define FAIR_SHARE_WEIGHT_DEFAULT 1.0
 
 typedef struct fair_share_entry {
     uint32_t workspace;
     double weight;
-    double cost_us; /* of its recent requests, decayed */
-    double share;   /* of them that is admitted, 0 to 1 */
-    double credit;  /* admissions accumulated, at most 2 */
+    double cost_us;   /* of its recent requests, decayed */
+    double demand_us; /* what it asks for, as estimated from that */
+    double share;     /* of its requests that is admitted, 0 to 1 */
+    double credit;    /* admissions accumulated, at most 2 */
 } fair_share_entry;
 
 typedef struct fair_share_table fair_share_table;
--- a/src/core/fair_share.c
+++ b/src/core/fair_share.c
@@ -14,7 +14,12 @@
     fair_share_entry entries[FAIR_SHARE_WORKSPACES_MAX];
     int count;
     GRand *random;
-    double level; /* that the shares were last divided by */
+    double requests; /* recent ones, decayed as their costs are */
+    double unit_us;  /* mean cost of a request; 0: none was seen */
+    double usual_us; /* cost that is usual for a unit of weight */
+    double level;    /* as divided last, with the floor and water level */
+    double floor;
+    double water;
 };
 
 /* Creates a table that admits everything.  ERR_NO_MEMORY if memory is
@@ -71,6 +76,36 @@
     return unused;
 }
 
+/* Estimates what a workspace asks for: by its recent requests, and, as far as
+ * these are few and don't contradict it, by what is usual for its weight (the
+ * mean of a gamma distribution after so many requests). */
+static double
+fair_share_estimate(const fair_share_table *table,
+                    const fair_share_entry *entry)
+{
+    double expected_us = entry->weight * table->usual_us;
+    if (expected_us <= 0 || table->unit_us <= 0) {
+        return entry->cost_us;
+    }
+    double off = (entry->cost_us - expected_us) / table->unit_us;
+    double variance = expected_us / table->unit_us + 1;
+    double doubt = off * off / variance /
+                   (FAIR_SHARE_PRIOR_DEVIATIONS * FAIR_SHARE_PRIOR_DEVIATIONS);
+    double prior_us = FAIR_SHARE_PRIOR_REQUESTS * table->unit_us / (1 + doubt);
+    return (prior_us + entry->cost_us) / (prior_us / expected_us + 1);
+}
+
+/* Sets the share of a workspace from what all get. */
+static void
+fair_share_set_share(const fair_share_table *table, fair_share_entry *entry)
+{
+    double most_us = entry->demand_us * (1 - table->floor);
+    double extra_us = MIN(most_us, table->water * entry->weight);
+    entry->share = entry->demand_us > 0 && table->level < 1
+                       ? table->floor + extra_us / entry->demand_us
+                       : table->level;
+}
+
 /* Records a request of a workspace that takes `cost_us` at the service, and
  * returns the entry by which it is admitted; it is valid until the next call.
  * The weight is the usage cap, in requests a second. */
@@ -81,7 +116,12 @@
     fair_share_entry *entry = fair_share_get(table, from->id);
     entry->weight =
         from->rate_per_s > 0 ? from->rate_per_s : FAIR_SHARE_WEIGHT_DEFAULT;
+    if (entry->cost_us <= 0) {
+        entry->demand_us = fair_share_estimate(table, entry);
+        fair_share_set_share(table, entry);
+    }
     entry->cost_us += cost_us;
+    table->requests += 1;
     return entry;
 }
 
@@ -101,7 +141,7 @@
         for (int i = 0; i < table->count; i++) {
             const fair_share_entry *entry = &table->entries[i];
             if (full[i]) {
-                remaining -= entry->cost_us * (1 - floor);
+                remaining -= entry->demand_us * (1 - floor);
             }
             else {
                 weight += entry->weight;
@@ -114,7 +154,7 @@
         for (int i = 0; i < table->count; i++) {
             const fair_share_entry *entry = &table->entries[i];
             if (!full[i] &&
-                entry->cost_us * (1 - floor) <= water * entry->weight) {
+                entry->demand_us * (1 - floor) <= water * entry->weight) {
                 full[i] = true;
                 changed = true;
             }
@@ -123,25 +163,59 @@
     return water;
 }
 
+/* Order of entries: by the cost for a unit of weight. */
+static int
+fair_share_compare(const void *x, const void *y)
+{
+    const fair_share_entry *a = *(const fair_share_entry *const *)x;
+    const fair_share_entry *b = *(const fair_share_entry *const *)y;
+    double first = a->cost_us * b->weight;
+    double second = b->cost_us * a->weight;
+    return (first > second) - (first < second);
+}
+
+/* Measures what is usual: the mean cost of a request, and the cost for a unit
+ * of weight below which half of the weight lies, so that one workspace that
+ * asks for many times its part does not change it. */
+static void
+fair_share_measure(fair_share_table *table)
+{
+    const fair_share_entry *sorted[FAIR_SHARE_WORKSPACES_MAX];
+    double weight = 0;
+    double total_us = 0;
+    for (int i = 0; i < table->count; i++) {
+        sorted[i] = &table->entries[i];
+        weight += table->entries[i].weight;
+        total_us += table->entries[i].cost_us;
+    }
+    qsort(sorted, (size_t)table->count, sizeof(const fair_share_entry *),
+          fair_share_compare);
+    double below = 0;
+    table->usual_us = 0;
+    for (int i = 0; i < table->count && below < weight / 2; i++) {
+        below += sorted[i]->weight;
+        table->usual_us = sorted[i]->cost_us / sorted[i]->weight;
+    }
+    table->unit_us = table->requests > 0 ? total_us / table->requests : 0;
+}
+
 /* Divides the share `level`, 0 to 1, of all that was recorded. */
 void
 fair_share_divide(fair_share_table *table, double level)
 {
     double total_us = 0;
-    table->level = level;
+    fair_share_measure(table);
     for (int i = 0; i < table->count; i++) {
-        total_us += table->entries[i].cost_us;
+        fair_share_entry *entry = &table->entries[i];
+        entry->demand_us = fair_share_estimate(table, entry);
+        total_us += entry->demand_us;
     }
-    double floor = level * FAIR_SHARE_FLOOR;
-    double water =
-        fair_share_water_level(table, total_us * (level - floor), floor);
+    table->level = level;
+    table->floor = level * FAIR_SHARE_FLOOR;
+    table->water = fair_share_water_level(
+        table, total_us * (level - table->floor), table->floor);
     for (int i = 0; i < table->count; i++) {
-        fair_share_entry *entry = &table->entries[i];
-        double extra_us =
-            MIN(entry->cost_us * (1 - floor), water * entry->weight);
-        entry->share = entry->cost_us > 0 && level < 1
-                           ? floor + extra_us / entry->cost_us
-                           : level;
+        fair_share_set_share(table, &table->entries[i]);
     }
 }
 
@@ -149,6 +223,7 @@
 void
 fair_share_decay(fair_share_table *table, double kept)
 {
+    table->requests *= kept;
     for (int i = 0; i < table->count; i++) {
         table->entries[i].cost_us *= kept;
     }
--- a/tests/unit/fair_share_test.c
+++ b/tests/unit/fair_share_test.c
@@ -1,5 +1,6 @@
 /* The admitted share of one priority, divided among workspaces. */
 #include <criterion/criterion.h>
+#include <glib.h>
 #include <math.h>
 
 #include "lav/fair_share.h"
@@ -97,3 +98,73 @@
     cr_expect_eq(fair_share_record(table, &from, COST_US)->workspace, from.id);
     fair_share_free(table);
 }
+
+#define FLEET_NODES 40
+#define FLEET_WORKSPACES 42 /* a large one, a hot one, and small ones */
+#define FLEET_SECONDS 40    /* of which the first half is not counted */
+#define FLEET_PERIODS 10    /* a second */
+#define FLEET_MEMORY_S 10.0
+
+typedef struct fleet_case {
+    const char *name;
+    double large_per_s; /* over all nodes */
+    double hot_per_s;   /* with the cap of the large one */
+    double small_per_s; /* each */
+    double least;    /* admitted of the small ones: part of the large one's */
+    double hot_most; /* and of the hot one's */
+} fleet_case;
+
+/* Nodes that see many requests of each workspace, and nodes that remember less
+ * than one of a small one: all get the same part. */
+static const fleet_case fleet_cases[] = {
+    {"many of each", 400, 2000, 20, 0.9, 0.6},
+    {"a few of each", 80, 400, 2, 0.85, 0.6},
+    {"hardly any", 40, 200, 0.25, 0.6, 0.65},
+};
+
+Test(fair_share, small_workspaces_get_what_large_ones_get)
+{
+    for (size_t i = 0; i < COUNT(fleet_cases); i++) {
+        const fleet_case *c = &fleet_cases[i];
+        double asked[FLEET_WORKSPACES] = {0};
+        double admitted[FLEET_WORKSPACES] = {0};
+        GRand *random = g_rand_new_with_seed(1);
+        for (uint32_t node = 0; node < FLEET_NODES; node++) {
+            fair_share_table *table = NULL;
+            cr_assert_eq(fair_share_new(&table, node), 0);
+            for (int period = 0; period < FLEET_SECONDS * FLEET_PERIODS;
+                 period++) {
+                fair_share_divide(table, 0.5);
+                fair_share_decay(table,
+                                 exp(-1 / FLEET_MEMORY_S / FLEET_PERIODS));
+                for (uint32_t w = 0; w < FLEET_WORKSPACES; w++) {
+                    workspace from = {.id = w + 1,
+                                      .rate_per_s = w < 2 ? c->large_per_s
+                                                          : c->small_per_s};
+                    double rate = w == 1 ? c->hot_per_s : from.rate_per_s;
+                    /* A binomial number of requests: up to four. */
+                    for (int k = 0; k < 4; k++) {
+                        if (g_rand_double(random) <
+                            rate / FLEET_NODES / FLEET_PERIODS / 4) {
+                            bool admit = fair_share_admit(
+                                fair_share_record(table, &from, COST_US));
+                            if (period >= FLEET_SECONDS * FLEET_PERIODS / 2) {
+                                asked[MIN(w, 2)]++;
+                                admitted[MIN(w, 2)] += admit;
+                            }
+                        }
+                    }
+                }
+            }
+            fair_share_free(table);
+        }
+        double large = admitted[0] / asked[0];
+        cr_expect_geq(admitted[2] / asked[2], c->least * large,
+                      "%s: small %.3f, large %.3f", c->name,
+                      admitted[2] / asked[2], large);
+        cr_expect_leq(admitted[1] / asked[1], c->hot_most * large,
+                      "%s: hot %.3f, large %.3f", c->name,
+                      admitted[1] / asked[1], large);
+        g_rand_free(random);
+    }
+}
