tests: the store's stand-in counts stale reads that it refuses

Reads were counted when they arrive, those that allow stale data only when they were answered, so their difference told nothing during an outage.

--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -474,9 +474,6 @@
     if (strcmp(request->method, "GET") == 0 && watch != NULL) {
         long after = strtol(watch + strlen("watch="), NULL, 10);
         bool stale = strstr(request->path, "stale_ok=1") != NULL;
-        if (stale) {
-            harness_count_stale_read(kind);
-        }
         *out = harness_wait_events(kind, after, stale);
         return after < harness_dropped_revision ? 410 : 200;
     }
@@ -495,6 +492,20 @@
     return status;
 }
 
+/* Count a request that arrives, whether it is answered or not. */
+static void
+harness_count_request(const harness_request *request)
+{
+    char kind[32] = "";
+    pthread_mutex_lock(&harness_lock);
+    harness_store_reads += strcmp(request->method, "GET") == 0;
+    pthread_mutex_unlock(&harness_lock);
+    if (strstr(request->path, "stale_ok=1") != NULL &&
+        sscanf(request->path, "/api/objects/%31[^/?]", kind) == 1) {
+        harness_count_stale_read(kind);
+    }
+}
+
 /* Serve a connection to the store according to its mode. */
 void
 harness_serve_store(int fd, int index)
@@ -505,8 +516,8 @@
     while (harness_read_request(&request, fd)) {
         pthread_mutex_lock(&harness_lock);
         enum harness_store_mode mode = harness_current_store_mode;
-        harness_store_reads += strcmp(request.method, "GET") == 0;
         pthread_mutex_unlock(&harness_lock);
+        harness_count_request(&request);
         if (mode == HARNESS_STORE_HANGS) {
             continue;
         }
