store_news: few nodes of a large fleet read the desired state

Change: where the desired state holds workspaces or mixed work, two nodes of each zone (three of a single one) go on to read it, by rank; the others ask them every 0.4 s which version is in force, fetch a newer one from the node that named it, and read themselves once none has confirmed theirs for 1 s. Fleets of less than four nodes a reader all read, as does every other deployment: nothing on the wire changes there.

Tests: news/*, mesh_news/* (all readers refused, frozen, killed; a reader that hears nothing; the store refuses the others; a target leaves; no workspaces any more). With a silence bound of 100 s mesh_news/all_readers_fail fails (a change in force after 15 s).

--- a/src/core/config_contact.c
+++ b/src/core/config_contact.c
@@ -19,7 +19,17 @@
     contact->heard_us = now_us;
 }
 
-/* Notes that the store has stopped answering. */
+/* Notes that a node that reads the store has confirmed the version in force,
+ * which holds until `until_us`. */
+void
+config_contact_hear_reader(config_contact *contact, int64_t until_us)
+{
+    if (until_us > contact->confirmed_until_us) {
+        contact->confirmed_until_us = until_us;
+    }
+}
+
+/* Notes that the store has stopped answering, or isn't read any more. */
 void
 config_contact_lose_store(config_contact *contact)
 {
@@ -27,7 +37,7 @@
 }
 
 /* Whether a newer version than `version` may be in force: a peer has named
- * one, the store does not answer, or everybody is silent, which a node that
+ * one, neither the store nor a reader of it answers, or everybody is silent, which a node that
  * knows no peer can't tell from quiet. */
 bool
 config_contact_may_be_outdated(const config_contact *contact, uint64_t version,
@@ -35,6 +45,7 @@
 {
     bool silent =
         has_peers && now_us - contact->heard_us > CONFIG_CONTACT_SILENCE_US;
-    return contact->heard_version > version || !contact->store_follows ||
-           silent;
+    bool follows =
+        contact->store_follows || now_us < contact->confirmed_until_us;
+    return contact->heard_version > version || !follows || silent;
 }
--- a/src/flow/peer_sync.c
+++ b/src/flow/peer_sync.c
@@ -133,12 +133,17 @@
     return text;
 }
 
-/* Encodes the version in force as JSON text, which the caller frees. */
+/* Encodes the version in force as JSON text, which the caller frees; where few
+ * nodes read the store also whether this node does. */
 char *
 peer_sync_version_json(const runtime *n)
 {
     json_t *version =
         json_pack("{s:I}", "version", (json_int_t)runtime_config_version(n));
+    if (n->news.shared && n->reads_store != NULL) {
+        json_object_set_new(version, "reads",
+                            json_boolean(n->reads_store(n->callback_payload)));
+    }
     char *text = json_dumps(version, JSON_COMPACT);
     json_decref(version);
     return text;
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -8,6 +8,7 @@
 #include "lav/clock.h"
 #include "lav/id.h"
 #include "lav/log.h"
+#include "news_sync.h"
 #include "usage_gate.h"
 
 /* A target that leaves gets new requests for the drain time divided by
@@ -164,6 +165,9 @@
     if (n->usage != NULL) {
         usage_gate_configure(n->usage);
     }
+    if (n->news_sync != NULL) {
+        news_sync_configure(n->news_sync);
+    }
     if (n->on_config != NULL) {
         n->on_config(n);
     }
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -22,11 +22,13 @@
 #include "lav/retry_budget.h"
 #include "lav/retry_share.h"
 #include "lav/routing.h"
+#include "lav/store_news.h"
 #include "lav/workspace_counts.h"
 
 struct local_target;
 struct prober;
 struct usage_gate;
+struct news_sync;
 
 /* Names of the header fields that callers and targets use. */
 typedef struct runtime_header_names {
@@ -56,6 +58,9 @@
 /* Removes the entry of a node that is permanently gone. */
 typedef void (*runtime_remove_member_cb)(const char *node, void *payload);
 
+/* Whether this node follows the desired state at the store. */
+typedef bool (*runtime_reads_store_cb)(void *payload);
+
 /* Another desired state has come into force. */
 struct runtime;
 typedef void (*runtime_config_cb)(struct runtime *n);
@@ -68,7 +73,8 @@
     runtime_config_cb on_config; /* NULL: nobody is told */
     runtime_announce_cb announce;
     runtime_remove_member_cb remove_member; /* NULL: entries are not stored */
-    void *callback_payload;                 /* of announce and remove_member */
+    runtime_reads_store_cb reads_store;     /* NULL: there is no store */
+    void *callback_payload;                 /* of the three above */
     conn_pool *pool;       /* to peers, the target and the store */
     routing_table *routes; /* in force; NULL: none is known yet */
     char *config_text;     /* of the desired state in force */
@@ -76,6 +82,7 @@
     const char *config_source; /* that it was received from */
     int64_t config_since_us;   /* when it came into force */
     config_contact contact;    /* what is known of newer ones */
+    store_news news;           /* who reads them from the store */
     instance_table *fleet;
     member_view view;             /* whether the fleet knows of each other */
     downstream_table *downstream; /* overload below each route */
@@ -88,14 +95,15 @@
     uint32_t service_hash; /* of the name of the local target's service */
     int self_member;       /* in the fleet, or INSTANCE_NONE */
     int64_t started_us;
-    bool first_start;           /* no earlier start of the node is known of */
-    GHashTable *retry_budgets;  /* service -> retry_budget_window */
-    GHashTable *peer_requests;  /* nonce -> peer_server_request */
-    struct local_target *local; /* the target of this node */
-    struct prober *prober;      /* probes unreachable nodes */
-    struct usage_gate *usage;   /* usage caps of workspaces */
-    workspace_counts *ended;    /* requests by workspace; NULL: none yet */
-    bool state_fetch_pending;   /* a peer's state is being fetched */
+    bool first_start;            /* no earlier start of the node is known of */
+    GHashTable *retry_budgets;   /* service -> retry_budget_window */
+    GHashTable *peer_requests;   /* nonce -> peer_server_request */
+    struct local_target *local;  /* the target of this node */
+    struct prober *prober;       /* probes unreachable nodes */
+    struct usage_gate *usage;    /* usage caps of workspaces */
+    workspace_counts *ended;     /* requests by workspace; NULL: none yet */
+    struct news_sync *news_sync; /* asks readers of the store */
+    bool state_fetch_pending;    /* a peer's state is being fetched */
     int64_t last_peer_contact_us; /* when a peer last reported its version */
     int requests;                 /* of callers and peers, in progress */
     GQueue caller_requests;       /* frontend_request, without a response */
