--- a/tests/integration/mesh_news_test.c
+++ b/tests/integration/mesh_news_test.c
@@ -180,6 +180,32 @@
     expect_in_force(2, "the store refuses those that ask");
 }
 
+/* Reads that the store has to answer from its newest state. */
+static int
+count_fresh_reads(void)
+{
+    return harness_store_read_count() -
+           harness_store_stale_read_count("lavnodes");
+}
+
+/* While the store is away for everybody, only the cheap polls of the entries
+ * go on; when it is back, changes are in force in time again. */
+Test(mesh_news, the_store_is_away)
+{
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_sleep_ms(SETTLE_MS);
+    int before = count_fresh_reads();
+    harness_sleep_ms(SETTLE_MS);
+    int reads = count_fresh_reads() - before;
+    cr_expect_leq(reads, NODES, "%d reads", reads);
+    harness_set_store_mode(HARNESS_STORE_UP);
+    for (int i = 0; i < NODES; i++) {
+        cr_expect(HARNESS_WAIT_FOR(harness_log_contains(
+            i, "\"event\":\"store_regained\",\"kind\":\"lavnodes\"")));
+    }
+    expect_in_force(2, "the store is back");
+}
+
 /* Nodes that don't read the desired state hear all the same that a target
  * leaves. */
 Test(mesh_news, a_target_leaves)
