platform_reader: checks follow the fleet as it becomes known

Cause: the time to a node's next check is drawn for the fleet that it knows, so that all nodes together check once a second.

Change: a check whose time was drawn for fewer nodes than are known now is made with the probability that makes up for it; likewise at a node that reads without being a reader. Only where few nodes read the desired state; until a node knows the desired state it checks as before.

Tests: news/checks.

--- a/include/lav/store_news.h
+++ b/include/lav/store_news.h
@@ -67,6 +67,8 @@
 bool store_news_is_confirmed(const store_news *news, int64_t now_us);
 bool store_news_may_wait(const store_news *news, int64_t now_us);
 int store_news_drawn_nodes(const store_news *news, int fleet_nodes);
+bool store_news_check_is_due(const store_news *news, int drawn_for,
+                             int fleet_nodes, double random, int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/src/core/store_news.c
+++ b/src/core/store_news.c
@@ -177,3 +177,17 @@
     return news->shared && news->reader_count > 0 ? news->reader_count
                                                   : fleet_nodes;
 }
+
+/* Whether a check is due at the time that was drawn for `drawn_for` nodes, so
+ * that all nodes together check at the same rate: after a start the fleet is
+ * known bit by bit, and a node that isn't a reader may read all the same.
+ * `random` is from 0 to 1. */
+bool
+store_news_check_is_due(const store_news *news, int drawn_for, int fleet_nodes,
+                        double random, int64_t now_us)
+{
+    int nodes = news->is_reader ? store_news_drawn_nodes(news, fleet_nodes)
+                                : fleet_nodes;
+    return !news->shared ||
+           (!store_news_may_wait(news, now_us) && random * nodes < drawn_for);
+}
--- a/tests/unit/news_test.c
+++ b/tests/unit/news_test.c
@@ -182,9 +182,56 @@
     }
 }
 
-/* Where few nodes read, they alone check the store. */
+typedef struct check_case {
+    const char *name;
+    store_news news;
+    int drawn_for;
+    int fleet; /* nodes known now */
+    int due;   /* of 100 times */
+} check_case;
+
+static const check_case check_cases[] = {
+    {"all read, none was told to check less", {0}, 2, 40, 100},
+    {"the fleet has become known",
+     {.shared = true, .is_reader = true},
+     2,
+     40,
+     5},
+    {"the fleet is as it was",
+     {.shared = true, .is_reader = true},
+     40,
+     40,
+     100},
+    {"a reader",
+     {.shared = true, .is_reader = true, .reader_count = 6},
+     6,
+     78,
+     100},
+    {"a reader since the time was drawn",
+     {.shared = true, .is_reader = true, .reader_count = 6},
+     78,
+     78,
+     100},
+    {"not a reader, but reads", {.shared = true, .reader_count = 4}, 4, 80, 5},
+    {"told by readers",
+     {.shared = true, .reader_count = 6, .confirmed_us = NOW_US},
+     6,
+     78,
+     0},
+};
+
+/* All nodes that read check once a second together. */
 Test(news, checks)
 {
+    for (size_t i = 0; i < COUNT(check_cases); i++) {
+        const check_case *c = &check_cases[i];
+        int due = 0;
+        for (int k = 0; k < 100; k++) {
+            due += store_news_check_is_due(&c->news, c->drawn_for, c->fleet,
+                                           k / 100.0, NOW_US);
+        }
+        cr_expect_eq(due, c->due, "%s: %d", c->name, due);
+    }
     store_news news = {.shared = true, .reader_count = 6};
     cr_expect_eq(store_news_drawn_nodes(&news, 78), 6);
     news.shared = false;
