--- a/src/core/config_contact.c
+++ b/src/core/config_contact.c
@@ -37,8 +37,8 @@
 }
 
 /* Whether a newer version than `version` may be in force: a peer has named
- * one, neither the store nor a reader of it answers, or everybody is silent, which a node that
- * knows no peer can't tell from quiet. */
+ * one, neither the store nor a reader of it answers, or everybody is silent,
+ * which a node that knows no peer can't tell from quiet. */
 bool
 config_contact_may_be_outdated(const config_contact *contact, uint64_t version,
                                bool has_peers, int64_t now_us)
