--- a/src/flow/usage_gate.c
+++ b/src/flow/usage_gate.c
@@ -3,27 +3,18 @@
 #include <http_parser.h>
 #include <jansson.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "http_async.h"
 #include "lav/clock.h"
-#include "lav/counter.h"
 #include "lav/err.h"
 #include "lav/id.h"
 #include "lav/log.h"
-#include "lav/usage_owner.h"
-#include "peer_sync.h"
-#include "record_json.h"
-#include "usage_message.h"
+#include "usage_gate_private.h"
 
 /* Period of the timer, and the number of periods between two readings of the
  * members. */
 #define USAGE_GATE_PERIOD_S 0.05
 #define USAGE_GATE_MEMBERS_PERIODS 5
 
-/* Time for the answer to a message. */
-#define USAGE_GATE_TIMEOUT_US 250000
-
 /* Time for which any request waits, and longest time for which one does whose
  * caller can wait longer. */
 #define USAGE_GATE_WAIT_US 500000
@@ -38,37 +29,8 @@
 /* Bits of the sequence numbers below the start of the node in ms. */
 #define USAGE_GATE_SEQUENCE_SHIFT 20
 
-/* Largest number of lines a second about refused requests. */
-#define USAGE_GATE_LINES_PER_S 4
-
-struct usage_gate {
-    runtime *n;
-    ev_timer timer; /* runs once a workspace had a cap */
-    int periods;
-    usage_share *share;
-    usage_owner *owner;
-    GHashTable *addresses; /* member id -> node name, char * */
-    GQueue waiting[USAGE_CAP_SLOTS];
-    uint64_t owners[USAGE_CAP_SLOTS];   /* as logged last */
-    uint64_t versions[USAGE_CAP_SLOTS]; /* of the owners' desired states */
-    int64_t answered_us[USAGE_CAP_SLOTS];
-    int64_t suspended_us;
-    uint64_t sent;
-    uint64_t failed;
-    uint64_t granted;
-    uint64_t waited;
-};
-
-/* A message under way. */
-typedef struct usage_gate_call {
-    usage_gate *gate;
-    usage_message message;
-} usage_gate_call;
-
-static void usage_gate_send(usage_gate *gate, int slot);
-
 /* Looks up a workspace in the desired state in force. */
-static const workspace *
+const workspace *
 usage_gate_find(uint32_t id, void *payload)
 {
     const usage_gate *gate = payload;
@@ -85,52 +47,6 @@
     return runtime_random() >> 2U | 1U;
 }
 
-/* Returns the node that owns a slot, for the log. */
-static const char *
-usage_gate_node_name(const usage_gate *gate, uint64_t member)
-{
-    uint64_t key = member;
-    const char *name = g_hash_table_lookup(gate->addresses, &key);
-    return name == NULL ? "" : name;
-}
-
-/* Logs that a slot's share is lent to another node. */
-static void
-usage_gate_note_owner(usage_gate *gate, int slot)
-{
-    uint64_t owner = usage_share_owner(gate->share, slot);
-    if (owner == gate->owners[slot]) {
-        return;
-    }
-    log_event(LOG_INFO, "usage_owner", NULL, "{s:i,s:s,s:s,s:i,s:I}", "slot",
-              slot, "node", usage_gate_node_name(gate, owner), "was",
-              usage_gate_node_name(gate, gate->owners[slot]), "members",
-              usage_share_members(gate->share), "desired",
-              (json_int_t)runtime_config_version(gate->n));
-    gate->owners[slot] = owner;
-}
-
-/* Logs a sample of the refused requests, with the source of the decision. */
-static void
-usage_gate_log_refusal(const usage_gate *gate, uint32_t workspace,
-                       const usage_gate_result *result)
-{
-    int slot = usage_cap_slot(workspace);
-    const struct workspace *entry = usage_gate_find(workspace, (void *)gate);
-    if (!log_allow_line("usage_refused", USAGE_GATE_LINES_PER_S)) {
-        return;
-    }
-    log_event(LOG_INFO, "usage_refused", NULL,
-              "{s:s,s:s,s:I,s:i,s:s,s:I,s:I,s:I}", "workspace",
-              entry == NULL ? "" : entry->name, "reason",
-              reason_name(result->reason), "retry_after_us",
-              (json_int_t)result->retry_after_us, "slot", slot, "from",
-              usage_gate_node_name(gate, gate->owners[slot]), "version",
-              (json_int_t)gate->versions[slot], "age_us",
-              (json_int_t)(gate->n->l->now_us - gate->answered_us[slot]),
-              "desired", (json_int_t)runtime_config_version(gate->n));
-}
-
 /* Completes a decision with what a refusal says. */
 static void
 usage_gate_complete(usage_gate *gate, uint32_t workspace,
@@ -165,7 +81,7 @@
 
 /* Decides on the requests that wait for a slot; those that have waited for too
  * long are refused.  Their owners are called last: they may come back here. */
-static void
+void
 usage_gate_settle(usage_gate *gate, int slot)
 {
     int64_t now_us = gate->n->l->now_us;
@@ -206,132 +122,6 @@
     }
 }
 
-/* Fetches the state of a node whose desired state is newer. */
-static void
-usage_gate_compare_version(usage_gate *gate, uint64_t member, uint64_t version)
-{
-    runtime *n = gate->n;
-    if (version <= runtime_config_version(n)) {
-        return;
-    }
-    const instance_record *record = instance_get(
-        n->fleet, instance_find(n->fleet, usage_gate_node_name(gate, member)));
-    if (record != NULL) {
-        struct sockaddr_in from = record_json_address(record);
-        peer_sync_fetch_state(n, &from);
-    }
-}
-
-/* Handles an answer, and goes on with the slot. */
-static void
-usage_gate_answered(usage_gate *gate, const usage_message *message,
-                    const usage_answer *answer)
-{
-    int slot = message->ask.slot;
-    int64_t now_us = gate->n->l->now_us;
-    usage_share_answered(gate->share, message, answer, now_us);
-    if (message->kind == USAGE_MESSAGE_ASK) {
-        gate->versions[slot] = answer->version;
-        gate->answered_us[slot] = now_us;
-    }
-    usage_gate_note_owner(gate, slot);
-    usage_gate_settle(gate, slot);
-    usage_gate_send(gate, slot);
-}
-
-/* Handles the response to a message. */
-static void
-usage_gate_on_response(const http_async_response *response, void *payload)
-{
-    usage_gate_call *call = payload;
-    usage_gate *gate = call->gate;
-    usage_answer answer;
-    bool read = response->result == HTTP_ASYNC_COMPLETE &&
-                response->status == HTTP_STATUS_OK &&
-                usage_message_read_answer(&answer, response->body,
-                                          response->length) == 0;
-    if (read) {
-        usage_gate_compare_version(gate, call->message.to, answer.version);
-        usage_gate_answered(gate, &call->message, &answer);
-    }
-    else {
-        int slot = call->message.ask.slot;
-        gate->failed++;
-        if (log_allow_line("usage_unanswered", USAGE_GATE_LINES_PER_S)) {
-            log_event(LOG_WARN, "usage_unanswered", NULL, "{s:i,s:s,s:i,s:b}",
-                      "slot", slot, "node",
-                      usage_gate_node_name(gate, call->message.to), "status",
-                      response->status, "sent",
-                      response->result != HTTP_ASYNC_NOT_SENT);
-        }
-        usage_share_failed(gate->share, &call->message,
-                           response->result != HTTP_ASYNC_NOT_SENT,
-                           gate->n->l->now_us);
-        usage_gate_settle(gate, slot);
-        usage_gate_send(gate, slot);
-    }
-    free(call);
-}
-
-/* Sends a message to another node; false if it can't be sent. */
-static bool
-usage_gate_send_message(usage_gate_call *call)
-{
-    usage_gate *gate = call->gate;
-    runtime *n = gate->n;
-    const instance_record *record = instance_get(
-        n->fleet,
-        instance_find(n->fleet, usage_gate_node_name(gate, call->message.to)));
-    if (record == NULL) {
-        return false;
-    }
-    bytebuf path = {0};
-    struct sockaddr_in to = record_json_address(record);
-    usage_message_write_ask(&path, &call->message.ask);
-    bytebuf_append(&path, "", 1);
-    http_async_options opts = {.method = "GET",
-                               .path = bytebuf_data(&path),
-                               .timeout_us = USAGE_GATE_TIMEOUT_US};
-    int result = http_async_start(NULL, n->pool, n->l, &to, &opts,
-                                  usage_gate_on_response, call);
-    bytebuf_clear(&path);
-    gate->sent++;
-    return result == 0;
-}
-
-/* Sends the messages that are due for a slot.  Those to this node itself are
- * handled at once. */
-static void
-usage_gate_send(usage_gate *gate, int slot)
-{
-    int64_t now_us = gate->n->l->now_us;
-    uint64_t self = id_hash(gate->n->self.node);
-    for (;;) {
-        usage_gate_call *call = calloc(1, sizeof(*call));
-        if (call == NULL ||
-            !usage_share_poll(&call->message, gate->share, slot, now_us)) {
-            free(call);
-            return;
-        }
-        call->gate = gate;
-        call->message.ask.version = runtime_config_version(gate->n);
-        if (call->message.to == self) {
-            usage_answer answer;
-            usage_owner_handle(&answer, gate->owner, &call->message.ask,
-                               usage_share_members(gate->share), now_us);
-            answer.version = call->message.ask.version;
-            usage_gate_answered(gate, &call->message, &answer);
-            free(call);
-            return;
-        }
-        if (!usage_gate_send_message(call)) {
-            usage_share_failed(gate->share, &call->message, false, now_us);
-            free(call);
-            return; /* the timer goes on */
-        }
-    }
-}
-
 /* Whether this node knows the members that the caps are divided among, and
  * they know it. */
 static bool
@@ -375,7 +165,7 @@
 
 /* Drops everything that depends on the clock if it stood while the host was
  * suspended. */
-static void
+void
 usage_gate_check_clock(usage_gate *gate)
 {
     int64_t suspended_us = clock_suspended_us();
@@ -541,62 +331,3 @@
                            request->gate->n->l->now_us);
     }
 }
-
-/* Handles the message in the path of a query.  Returns the answer as JSON
- * text, which the caller frees; NULL if the message is not valid. */
-char *
-usage_gate_handle_query(usage_gate *gate, http_str path)
-{
-    usage_ask ask;
-    usage_answer answer;
-    if (usage_message_read_ask(&ask, path) < 0) {
-        counter_add_reason(REASON_BAD_MESSAGE);
-        return NULL;
-    }
-    usage_gate_check_clock(gate);
-    usage_gate_compare_version(gate, ask.lender, ask.version);
-    usage_owner_handle(&answer, gate->owner, &ask,
-                       usage_share_members(gate->share), gate->n->l->now_us);
-    answer.version = runtime_config_version(gate->n);
-    return usage_message_write_answer(&answer);
-}
-
-/* Writes gauges and counters of the usage caps, if there were any. */
-void
-usage_gate_write_metrics(bytebuf *out, const usage_gate *gate)
-{
-    int lent = 0;
-    double held = 0;
-    if (!ev_is_active(&gate->timer)) {
-        return;
-    }
-    for (int i = 0; i < USAGE_CAP_SLOTS; i++) {
-        lent += usage_share_owner(gate->share, i) != 0 ? 1 : 0;
-        held += usage_owner_share(gate->owner, i, gate->n->l->now_us);
-    }
-    const struct {
-        const char *name;
-        const char *help;
-        const char *type;
-        double value;
-    } values[] = {
-        {"lav_usage_members", "Nodes that usage caps are divided among.",
-         "gauge", usage_share_members(gate->share)},
-        {"lav_usage_slots_lent", "Slots whose share is lent to an owner.",
-         "gauge", lent},
-        {"lav_usage_slots_held", "Slots whose caps this node grants.", "gauge",
-         held},
-        {"lav_usage_granted_total", "Requests taken from a usage cap.",
-         "counter", (double)gate->granted},
-        {"lav_usage_waited_total", "Requests that waited for an owner.",
-         "counter", (double)gate->waited},
-        {"lav_usage_messages_total", "Messages sent to owners.", "counter",
-         (double)gate->sent},
-        {"lav_usage_unanswered_total", "Messages without an answer.",
-         "counter", (double)gate->failed}};
-    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
-        bytebuf_appendf(out, "# HELP %s %s\n# TYPE %s %s\n%s %g\n",
-                        values[i].name, values[i].help, values[i].name,
-                        values[i].type, values[i].name, values[i].value);
-    }
-}
