--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -149,111 +149,111 @@
     usage_share_free(share);
 }
 
-Test(usage, a_cap_that_is_used_up_says_when_to_return)
-{
-    usage_share *share = NULL;
-    usage_owner *owner = NULL;
+/* A node that lends to itself, from 2 s after its start on. */
+typedef struct usage_pair {
+    usage_share *share;
+    usage_owner *owner;
     usage_token token;
-    int64_t retry_us = 0;
+    int64_t retry_us;
+    int64_t now_us;
+} usage_pair;
+
+static void
+usage_pair_start(usage_pair *pair)
+{
     usage_member self = {SELF, true};
-    int64_t now_us = 2 * CLOCK_US_PER_S;
-    int granted = 0;
-    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
-    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
-    usage_share_set_members(share, &self, 1, 0);
-    for (; now_us < 8 * CLOCK_US_PER_S; now_us += CLOCK_US_PER_S / 5) {
-        usage_exchange(share, owner, 1, now_us);
+    *pair = (usage_pair){.now_us = 2 * CLOCK_US_PER_S};
+    cr_assert_eq(usage_share_new(&pair->share, SELF, 1, 0), 0);
+    cr_assert_eq(usage_owner_new(&pair->owner, 3, usage_find, NULL), 0);
+    usage_share_set_members(pair->share, &self, 1, 0);
+}
+
+static void
+usage_pair_stop(usage_pair *pair)
+{
+    usage_share_free(pair->share);
+    usage_owner_free(pair->owner);
+}
+
+/* Lends the share of slot 1 again and again until a time. */
+static void
+usage_pair_renew(usage_pair *pair, int64_t until_us)
+{
+    for (; pair->now_us < until_us; pair->now_us += TIMER_US) {
+        usage_exchange(pair->share, pair->owner, 1, pair->now_us);
     }
+    pair->now_us = until_us;
+}
+
+/* Takes one request of a workspace. */
+static enum usage_decision
+usage_pair_take(usage_pair *pair, uint32_t workspace)
+{
+    return usage_share_take(&pair->token, &pair->retry_us, pair->share,
+                            workspace, PATIENCE_US, pair->now_us);
+}
+
+/* Asks the owner, and decides on the request that waits. */
+static enum usage_decision
+usage_pair_ask(usage_pair *pair, uint32_t workspace)
+{
+    usage_exchange(pair->share, pair->owner, usage_cap_slot(workspace),
+                   pair->now_us);
+    return usage_share_settle(&pair->token, &pair->retry_us, pair->share,
+                              workspace, PATIENCE_US, pair->now_us);
+}
+
+Test(usage, a_cap_that_is_used_up_says_when_to_return)
+{
+    usage_pair pair;
     enum usage_decision decision = USAGE_GRANTED;
+    int granted = 0;
+    usage_pair_start(&pair);
+    usage_pair_renew(&pair, 8 * CLOCK_US_PER_S);
     for (int i = 0; i < 20 && decision != USAGE_OVER_CAP; i++) {
-        decision =
-            usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us);
+        decision = usage_pair_take(&pair, 1);
         if (decision == USAGE_WAIT) {
-            usage_exchange(share, owner, 1, now_us);
-            decision = usage_share_settle(&token, &retry_us, share, 1,
-                                          PATIENCE_US, now_us);
+            decision = usage_pair_ask(&pair, 1);
         }
         granted += decision == USAGE_GRANTED ? 1 : 0;
     }
     cr_assert_eq(decision, USAGE_OVER_CAP);
     cr_expect_eq(granted, 2 + (int)USAGE_CAP_SLACK);
-    int64_t return_us = now_us + retry_us;
-    for (; now_us < return_us; now_us += TIMER_US) {
-        usage_exchange(share, owner, 1, now_us); /* renews the loan */
-    }
-    now_us = return_us;
-    cr_expect_eq(
-        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
-        USAGE_WAIT);
-    usage_exchange(share, owner, 1, now_us);
-    cr_expect_eq(
-        usage_share_settle(&token, &retry_us, share, 1, PATIENCE_US, now_us),
-        USAGE_GRANTED);
-    usage_share_free(share);
-    usage_owner_free(owner);
+    usage_pair_renew(&pair, pair.now_us + pair.retry_us);
+    cr_expect_eq(usage_pair_take(&pair, 1), USAGE_WAIT);
+    cr_expect_eq(usage_pair_ask(&pair, 1), USAGE_GRANTED);
+    usage_pair_stop(&pair);
 }
 
 Test(usage, requests_given_back_are_granted_again)
 {
-    usage_share *share = NULL;
-    usage_owner *owner = NULL;
-    usage_token token;
-    int64_t retry_us = 0;
-    usage_member self = {SELF, true};
-    int64_t now_us = 2 * CLOCK_US_PER_S;
-    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
-    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
-    usage_share_set_members(share, &self, 1, 0);
-    for (; now_us < 4 * CLOCK_US_PER_S; now_us += CLOCK_US_PER_S / 5) {
-        usage_exchange(share, owner, 1, now_us);
-    }
-    cr_assert_eq(
-        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
-        USAGE_WAIT);
-    usage_exchange(share, owner, 1, now_us);
-    cr_assert_eq(
-        usage_share_settle(&token, &retry_us, share, 1, PATIENCE_US, now_us),
-        USAGE_GRANTED);
-    usage_share_return(share, &token, now_us);
-    cr_expect_eq(
-        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
-        USAGE_GRANTED, "it is in hand");
-    usage_share_return(share, &token, now_us);
-    now_us += USAGE_CAP_GRANT_US;
-    cr_expect_eq(
-        usage_share_take(&token, &retry_us, share, 1, PATIENCE_US, now_us),
-        USAGE_WAIT, "it has expired");
-    usage_share_free(share);
-    usage_owner_free(owner);
+    usage_pair pair;
+    usage_pair_start(&pair);
+    usage_pair_renew(&pair, 4 * CLOCK_US_PER_S);
+    cr_assert_eq(usage_pair_take(&pair, 1), USAGE_WAIT);
+    cr_assert_eq(usage_pair_ask(&pair, 1), USAGE_GRANTED);
+    usage_share_return(pair.share, &pair.token, pair.now_us);
+    cr_expect_eq(usage_pair_take(&pair, 1), USAGE_GRANTED, "it is in hand");
+    usage_share_return(pair.share, &pair.token, pair.now_us);
+    pair.now_us += USAGE_CAP_GRANT_US;
+    cr_expect_eq(usage_pair_take(&pair, 1), USAGE_WAIT, "it has expired");
+    usage_pair_stop(&pair);
 }
 
 Test(usage, workspaces_without_a_cap_or_unknown_to_the_owner)
 {
-    usage_share *share = NULL;
-    usage_owner *owner = NULL;
-    usage_token token;
-    int64_t retry_us = 0;
-    usage_member self = {SELF, true};
-    int64_t now_us = 2 * CLOCK_US_PER_S;
-    cr_assert_eq(usage_share_new(&share, SELF, 1, 0), 0);
-    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
-    usage_share_set_members(share, &self, 1, 0);
     static const struct {
         uint32_t workspace;
         enum usage_decision decision;
     } cases[] = {{2, USAGE_GRANTED}, {3, USAGE_UNCHECKED}};
+    usage_pair pair;
+    usage_pair_start(&pair);
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         uint32_t id = cases[i].workspace;
-        cr_assert_eq(usage_share_take(&token, &retry_us, share, id,
-                                      PATIENCE_US, now_us),
-                     USAGE_WAIT);
-        usage_exchange(share, owner, usage_cap_slot(id), now_us);
-        cr_expect_eq(usage_share_settle(&token, &retry_us, share, id,
-                                        PATIENCE_US, now_us),
-                     cases[i].decision);
+        cr_assert_eq(usage_pair_take(&pair, id), USAGE_WAIT);
+        cr_expect_eq(usage_pair_ask(&pair, id), cases[i].decision);
     }
-    usage_share_free(share);
-    usage_owner_free(owner);
+    usage_pair_stop(&pair);
 }
 
 /* What a request meets that comes while the node may not lend yet.  Times are
