rig: the nodes' decisions on a request that failed are printed

Why calls failed in leave on a busy machine was not known when their run's nodes had ended; the reasons that callers got don't tell what their inner calls met.

--- a/tests/integration/rig.c
+++ b/tests/integration/rig.c
@@ -134,9 +134,26 @@
     return l;
 }
 
-/* Print the last outcome and the times of a request that did not succeed. */
+/* Print what the nodes that run have logged of their decisions on a request. */
 static void
-rig_print_unsuccessful(const loadgen_request *request,
+rig_print_decisions(const rig *r, const char *request)
+{
+    char path[ID_SIZE + 32];
+    snprintf(path, sizeof(path), "/lav/explain?id=%s", request);
+    for (size_t i = 0; i < r->cluster.count; i++) {
+        char *text =
+            cluster_http_get(r->cluster.instances[i].callers_port, path);
+        if (text != NULL && strstr(text, "\"ms\"") != NULL) {
+            printf("  %s\n", text);
+        }
+        free(text);
+    }
+}
+
+/* Print the last outcome and the times of a request that did not succeed, and
+ * the decisions on it. */
+static void
+rig_print_unsuccessful(const rig *r, const loadgen_request *request,
                        const loadgen_response *last)
 {
 
@@ -144,6 +161,7 @@
            request->request.text, loadgen_outcome_text(last->outcome),
            last->reason, (double)request->due_us / CLOCK_US_PER_S,
            (double)request->end_us / CLOCK_US_PER_S, request->attempts);
+    rig_print_decisions(r, request->request.text);
 }
 
 /* Wait for the end of a load and check the responses against the execution
@@ -165,7 +183,7 @@
             if (last->outcome != LOADGEN_DONE &&
                 out->sent - out->by_outcome[LOADGEN_DONE] <=
                     RIG_PRINTED_REQUESTS_MAX) {
-                rig_print_unsuccessful(&l->requests[i], last);
+                rig_print_unsuccessful(r, &l->requests[i], last);
             }
         }
     }
