router: calls wait longer for the only instance that may take them

An attempt that was not sent within 60 ms counted as an unreachable instance, which then backed off for half a second. That serves calls that another instance can take. A call that is not idempotent may only run at its owner, and one of a service with one instance only there: a stall of a tenth of a second refused them with seconds left, and when no instance of a service was reached, all its calls were refused for as long as all backed off ("early_refusal" after 0 attempts). In chain the first call over seven hops got 503, "not-run, peer_unreachable".

Such an attempt now waits up to 250 ms, at most half of the time left; 60 ms where one at this instance was not sent shortly before. Where instances only back off and none is left, they are tried.

--- a/include/lav/lb.h
+++ b/include/lav/lb.h
@@ -24,8 +24,10 @@
     int level;       /* of its admission: it accepts lower priority numbers */
     int outstanding; /* calls of this node at it, without a response */
     int load_permille; /* in flight and queued, of its limit, last reported */
+    bool backing_off;  /* not usable for just that reason */
 } lb_candidate;
 
+void lb_end_backoffs(lb_candidate *candidates, size_t count);
 int lb_pick(const lb_candidate *candidates, size_t count, int priority,
             uint64_t random);
 int lb_pick_owner(const lb_candidate *candidates, size_t count, uint64_t hash);
--- a/include/lav/retry.h
+++ b/include/lav/retry.h
@@ -27,6 +27,12 @@
 /* With less time left before the deadline another attempt can't succeed. */
 #define RETRY_TIME_LEFT_MIN_US 5000
 
+/* Longest wait for a connection to an instance, in ms: where another instance
+ * may take the call or an attempt at this one was not sent shortly before, and
+ * where the call depends on this instance. */
+#define RETRY_CONNECT_TIMEOUT_MS 60
+#define RETRY_SOLE_CONNECT_TIMEOUT_MS 250
+
 /* How an attempt failed. */
 enum retry_end {
     /* The attempt never left this node. */
@@ -65,6 +71,7 @@
 } retry_failure;
 
 enum retry_action retry_decide(const retry_failure *failure);
+int64_t retry_connect_timeout_ms(bool sole_instance, int64_t time_left_us);
 
 #ifdef __cplusplus
 }
--- a/src/core/lb.c
+++ b/src/core/lb.c
@@ -19,6 +19,22 @@
     return cost;
 }
 
+/* Where no candidate is usable, make those usable that only back off: when
+ * attempts at all instances were not sent, the fault may be this node's, which
+ * must not refuse calls for as long as they back off. */
+void
+lb_end_backoffs(lb_candidate *candidates, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (candidates[i].usable) {
+            return;
+        }
+    }
+    for (size_t i = 0; i < count; i++) {
+        candidates[i].usable = candidates[i].backing_off;
+    }
+}
+
 /* Whether a candidate is usable and admits a priority. */
 static bool
 lb_accepts(const lb_candidate *candidate, int priority)
--- a/src/core/retry.c
+++ b/src/core/retry.c
@@ -1,5 +1,7 @@
 #include "lav/retry.h"
 
+#include "lav/clock.h"
+
 /* Whether a refusal means that this instance can't take the call, rather than
  * that it can't now. */
 static bool
@@ -122,3 +124,18 @@
     }
     return RETRY_STOP;
 }
+
+/* Longest wait for a connection, in ms, of an attempt at the only instance that
+ * may take its call, or at one of several.  Half of the time that is left stays
+ * for the call, so that an attempt never sent is known to be that. */
+int64_t
+retry_connect_timeout_ms(bool sole_instance, int64_t time_left_us)
+{
+    int64_t half_ms = time_left_us / 2 / CLOCK_US_PER_MS;
+    if (!sole_instance || half_ms < RETRY_CONNECT_TIMEOUT_MS) {
+        return RETRY_CONNECT_TIMEOUT_MS;
+    }
+    return half_ms < RETRY_SOLE_CONNECT_TIMEOUT_MS
+               ? half_ms
+               : RETRY_SOLE_CONNECT_TIMEOUT_MS;
+}
--- a/src/node/callers/router_attempt.c
+++ b/src/node/callers/router_attempt.c
@@ -59,10 +59,11 @@
             endpoint_get(r->endpoints, entry->incarnation, now_us);
         lb_candidate *candidate = &out->items[out->count];
         candidate->incarnation = entry->incarnation;
-        candidate->usable = now_us >= ep->backoff_until_us;
-        candidate->usable =
-            candidate->usable &&
-            (state == NULL || !router_is_excluded(state, entry->incarnation));
+        bool excluded =
+            state != NULL && router_is_excluded(state, entry->incarnation);
+        bool backs_off = now_us < ep->backoff_until_us;
+        candidate->usable = !excluded && !backs_off;
+        candidate->backing_off = !excluded && backs_off;
         candidate->same_zone =
             strcmp(entry->zone, r->node->settings.zone) == 0;
         candidate->level = admission_cache_get(r->admission_levels, operation,
@@ -75,7 +76,8 @@
 
 /* Collect the candidates of a service; the caller holds the read lock of the
  * snapshot. If gossip reports all of them dead they are used nevertheless:
- * this node may be the one that is partitioned. */
+ * this node may be the one that is partitioned. So are those that back off if
+ * there are no others. */
 static void
 router_collect_candidates(router_candidates *out, router_state *r,
                           const char *service, const char *operation,
@@ -86,6 +88,7 @@
         router_collect_members(out, r, service, operation, state, true,
                                now_us);
     }
+    lb_end_backoffs(out->items, out->count);
 }
 
 /* Admission priority of a call; lower values are more important. */
@@ -213,14 +216,18 @@
     state->phase = ROUTER_WAITING;
     state->phase_timeout_us = state->deadline_us;
     router_build_call(&m, r, state, call, none_ran, now_us);
-    int64_t timeout_ms = (state->deadline_us - now_us) / CLOCK_US_PER_MS +
-                         ROUTER_REPLY_GRACE_MS;
+    int64_t time_left_us = state->deadline_us - now_us;
+    endpoint *ep = endpoint_get(r->endpoints, state->instance, now_us);
+    bool sole = state->sole_instance && now_us >= ep->backoff_until_us;
+    rpc_client_timeouts timeouts = {
+        .connect_ms = retry_connect_timeout_ms(sole, time_left_us),
+        .reply_ms = time_left_us / CLOCK_US_PER_MS + ROUTER_REPLY_GRACE_MS};
     counter_add(COUNTER_ATTEMPTS, 1);
-    endpoint_get(r->endpoints, state->instance, now_us)->outstanding++;
+    ep->outstanding++;
     if (correlation_add(r->correlations, state->nonce, handle,
                         state->attempt) < 0 ||
         rpc_client_send(r->attempts, entry->address, entry->peer_port, &m,
-                        state->nonce, timeout_ms) < 0) {
+                        state->nonce, &timeouts) < 0) {
         router_on_not_sent(r, handle, now_us);
     }
 }
@@ -240,6 +247,20 @@
     return found;
 }
 
+/* Whether the instance of the next attempt is the only one that may take the
+ * call: that of an idempotent call where no other is usable, that of any other
+ * call in every case, since its owner is one. */
+static bool
+router_is_sole_instance(const router_candidates *candidates,
+                        const router_call *state)
+{
+    size_t usable = 0;
+    for (size_t i = 0; i < candidates->count; i++) {
+        usable += candidates->items[i].usable ? 1 : 0;
+    }
+    return !state->idempotent || usable == 1;
+}
+
 /* Select the instance for the next attempt; false if there is none, with the
  * reason in `out_reason`. */
 static bool
@@ -250,6 +271,7 @@
     const pending_call *call = pending_get(r->calls, handle);
     router_candidates candidates;
     if (state->owner != 0) {
+        state->sole_instance = true;
         *out_reason = REASON_OWNER_GONE;
         return router_find_member(out, r, state->owner);
     }
@@ -257,6 +279,7 @@
     router_collect_candidates(&candidates, r, call->service, state->operation,
                               state, now_us);
     int index = router_pick_instance(&candidates, state, call);
+    state->sole_instance = router_is_sole_instance(&candidates, state);
     if (index != LB_NONE) {
         *out = *candidates.members[index];
     }
@@ -472,6 +495,9 @@
 {
     router_call *state = &r->states[handle];
     swim_member entry;
+    const rpc_client_timeouts timeouts = {
+        .connect_ms = RETRY_CONNECT_TIMEOUT_MS,
+        .reply_ms = ROUTER_CANCEL_TIMEOUT_US / CLOCK_US_PER_MS};
     msg m = {.kind = MSG_CANCEL};
     m.cancel.nonce = state->nonce;
     call_outcome_set_attempt(&state->outcome, state->attempt,
@@ -481,8 +507,7 @@
     counter_add(COUNTER_CANCELS, 1);
     if (!router_find_member(&entry, r, state->instance) ||
         rpc_client_send(r->cancels, entry.address, entry.control_port, &m,
-                        state->nonce,
-                        ROUTER_CANCEL_TIMEOUT_US / CLOCK_US_PER_MS) < 0) {
+                        state->nonce, &timeouts) < 0) {
         state->phase_timeout_us = now_us;
     }
 }
--- a/src/node/callers/router_private.h
+++ b/src/node/callers/router_private.h
@@ -59,7 +59,8 @@
     call_outcome outcome;
     int attempt; /* index of the present attempt in `outcome` */
     uint64_t nonce;
-    uint64_t instance; /* incarnation the present attempt was sent to */
+    uint64_t instance;  /* incarnation the present attempt was sent to */
+    bool sole_instance; /* no other instance may take the call */
     int64_t sent_us;
     uint64_t owner; /* incarnation to send the next attempt to, or 0 */
     uint64_t excluded[CALL_OUTCOME_ATTEMPTS_MAX]; /* instances not to try */
--- a/src/node/peers/rpc_client.c
+++ b/src/node/peers/rpc_client.c
@@ -275,12 +275,12 @@
     return raw;
 }
 
-/* Send an attempt to the node at an address and wait up to `timeout_ms` for
- * its reply. If the result is negative, nothing was sent and the callback is
+/* Send an attempt to the node at an address and wait for its reply. If the result is negative, nothing was sent and the callback is
  * not called. */
 int
 rpc_client_send(rpc_client *client, const char *address, uint16_t port,
-                const msg *m, uint64_t nonce, int64_t timeout_ms)
+                const msg *m, uint64_t nonce,
+                const rpc_client_timeouts *timeouts)
 {
     nng_msg *raw = rpc_client_encode(m);
     if (raw == NULL) {
@@ -296,8 +296,8 @@
         return ERR_FULL;
     }
     attempt->nonce = nonce;
-    attempt->timeout_ms = timeout_ms;
-    nng_aio_set_timeout(attempt->aio, RPC_CLIENT_CONNECT_TIMEOUT_MS);
+    attempt->timeout_ms = timeouts->reply_ms;
+    nng_aio_set_timeout(attempt->aio, (nng_duration)timeouts->connect_ms);
     nng_aio_set_msg(attempt->aio, raw);
     nng_ctx_send(attempt->context, attempt->aio);
     return 0;
--- a/src/node/peers/rpc_client.h
+++ b/src/node/peers/rpc_client.h
@@ -14,8 +14,12 @@
 #include "lav/msg.h"
 
 #define RPC_CLIENT_PEERS_MAX 512
-/* Longest wait of an attempt for a connection. */
-#define RPC_CLIENT_CONNECT_TIMEOUT_MS 60
+
+/* How long an attempt waits at most. */
+typedef struct rpc_client_timeouts {
+    int64_t connect_ms; /* for a connection */
+    int64_t reply_ms;   /* for the reply, from when it was sent */
+} rpc_client_timeouts;
 
 enum rpc_client_result {
     RPC_CLIENT_REPLY,    /* `reply` is decoded and owned by the callback */
@@ -33,6 +37,7 @@
                    rpc_client_cb callback, void *payload, err *e);
 void rpc_client_free(rpc_client *client);
 int rpc_client_send(rpc_client *client, const char *address, uint16_t port,
-                    const msg *m, uint64_t nonce, int64_t timeout_ms);
+                    const msg *m, uint64_t nonce,
+                    const rpc_client_timeouts *timeouts);
 
 #endif
--- a/tests/unit/core_test.c
+++ b/tests/unit/core_test.c
@@ -141,25 +141,31 @@
 
 static const route_case route_cases[] = {
     {{{0}}, 0, 0, LB_NONE, false},
-    {{{1, true, true, MAX, 0, 0}}, 1, 0, 0, false},
-    {{{1, false, true, MAX, 0, 0}}, 1, 0, LB_NONE, false},
-    {{{1, true, true, 10, 0, 0}}, 1, 10, LB_NONE, true},
-    {{{1, true, true, 10, 0, 0}, {2, true, true, 200, 0, 0}},
+    {{{1, true, true, MAX, 0, 0, false}}, 1, 0, 0, false},
+    {{{1, false, true, MAX, 0, 0, false}}, 1, 0, LB_NONE, false},
+    {{{1, true, true, 10, 0, 0, false}}, 1, 10, LB_NONE, true},
+    {{{1, true, true, 10, 0, 0, false}, {2, true, true, 200, 0, 0, false}},
      2,
      100,
      1,
      false},
-    {{{1, true, true, MAX, 0, 900}, {2, true, false, MAX, 0, 100}},
+    {{{1, true, true, MAX, 0, 900, false},
+      {2, true, false, MAX, 0, 100, false}},
      2,
      0,
      1,
      false},
-    {{{1, true, true, MAX, 0, 100}, {2, true, false, MAX, 0, 100}},
+    {{{1, true, true, MAX, 0, 100, false},
+      {2, true, false, MAX, 0, 100, false}},
      2,
      0,
      0,
      false},
-    {{{1, true, true, MAX, 9, 0}, {2, true, true, MAX, 0, 0}}, 2, 0, 1, false},
+    {{{1, true, true, MAX, 9, 0, false}, {2, true, true, MAX, 0, 0, false}},
+     2,
+     0,
+     1,
+     false},
 };
 
 Test(core, routes)
@@ -177,6 +183,62 @@
     }
 }
 
+typedef struct backoff_case {
+    bool usable[3];
+    bool backing_off[3];
+    bool usable_after[3];
+} backoff_case;
+
+static const backoff_case backoff_cases[] = {
+    {{true, false, false}, {false, true, true}, {true, false, false}},
+    {{false, false, false}, {true, true, true}, {true, true, true}},
+    {{false, false, false}, {false, true, false}, {false, true, false}},
+    {{false, false, false}, {false, false, false}, {false, false, false}},
+};
+
+/* A call is not refused because all instances that it may go to back off. */
+Test(core, backoffs_end_where_no_instance_is_left)
+{
+    for (size_t i = 0; i < sizeof(backoff_cases) / sizeof(backoff_cases[0]);
+         i++) {
+        const backoff_case *c = &backoff_cases[i];
+        lb_candidate candidates[3] = {{0}};
+        for (int k = 0; k < 3; k++) {
+            candidates[k].usable = c->usable[k];
+            candidates[k].backing_off = c->backing_off[k];
+        }
+        lb_end_backoffs(candidates, 3);
+        for (int k = 0; k < 3; k++) {
+            cr_expect_eq(candidates[k].usable, c->usable_after[k],
+                         "case %zu, %d", i, k);
+        }
+    }
+}
+
+typedef struct connect_case {
+    bool sole_instance;
+    int64_t time_left_us;
+    int64_t timeout_ms;
+} connect_case;
+
+static const connect_case connect_cases[] = {
+    {false, 2000000, 60}, {true, 2000000, 250}, {true, 400000, 200},
+    {true, 100000, 60},   {false, 100000, 60},
+};
+
+/* A call waits longer for a connection where no other instance may take it,
+ * but leaves time for the call. */
+Test(core, waits_for_connections)
+{
+    for (size_t i = 0; i < sizeof(connect_cases) / sizeof(connect_cases[0]);
+         i++) {
+        const connect_case *c = &connect_cases[i];
+        cr_expect_eq(
+            retry_connect_timeout_ms(c->sole_instance, c->time_left_us),
+            c->timeout_ms, "case %zu", i);
+    }
+}
+
 typedef struct retry_case {
     retry_failure given;
     enum retry_action action;
