--- a/src/node/peers/rpc_client.c
+++ b/src/node/peers/rpc_client.c
@@ -275,8 +275,8 @@
     return raw;
 }
 
-/* Send an attempt to the node at an address and wait for its reply. If the result is negative, nothing was sent and the callback is
- * not called. */
+/* Send an attempt to the node at an address and wait for its reply. If the
+ * result is negative, nothing was sent and the callback is not called. */
 int
 rpc_client_send(rpc_client *client, const char *address, uint16_t port,
                 const msg *m, uint64_t nonce,
