--- a/tests/integration/harness_io.c
+++ b/tests/integration/harness_io.c
@@ -91,7 +91,7 @@
                sizeof(on)); /* inherited */
     if (bind(fd, (struct sockaddr *)&at, sizeof(at)) < 0 ||
         listen(fd, 256) < 0) {
-        perror("pfr_listen");
+        perror("harness_listen");
         abort();
     }
     pthread_once(&harness_threads_once, harness_init_threads);
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -170,7 +170,7 @@
     }
 }
 
-/* Check all promises; the faults are over, the callers have stopped. */
+/* Check everything; the faults are over, the callers have stopped. */
 void
 soak_check(soak_run *s)
 {
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -11,7 +11,7 @@
 #define SOAK_GAP_MS 250           /* between two beginnings, on average */
 #define SOAK_JUMPS_OF 3           /* one fault of so many is a jump */
 #define SOAK_JUMP_MS 3600000      /* 1 h, either way, of the time of day */
-#define SOAK_TROUBLE_PERMILLE 300 /* of the requests, at targets in trouble */
+#define SOAK_FAULTY_PERMILLE 300 /* of the requests, at faulty targets */
 
 typedef struct soak_fault soak_fault;
 
@@ -167,7 +167,7 @@
 {
     (void)s;
     (void)f;
-    harness_set_fault_permille(SOAK_TROUBLE_PERMILLE);
+    harness_set_fault_permille(SOAK_FAULTY_PERMILLE);
 }
 
 static void
@@ -231,7 +231,7 @@
     {"kill", false, 50, 1500, soak_kill, soak_start_again, 0},
     {"pause", false, 100, 3000, soak_pause, soak_resume, 0},
     {"target crashes", false, 200, 1500, soak_crash, soak_crash_end, 0},
-    {"targets in trouble", false, 500, 2000, soak_targets, soak_targets_end,
+    {"faulty targets", false, 500, 2000, soak_targets, soak_targets_end,
      0},
     {"connections reset", false, 50, 100, soak_reset, soak_nothing, 0},
     {"peers cut", false, 100, 2000, soak_peers, soak_peers_end,
@@ -266,9 +266,9 @@
     bool same_node = a->node == b->node;
     bool both_store =
         a->kind->start == soak_store && b->kind->start == soak_store;
-    bool both_trouble =
+    bool both_targets =
         a->kind->start == soak_targets && b->kind->start == soak_targets;
-    return same_node || both_store || both_trouble;
+    return same_node || both_store || both_targets;
 }
 
 static void
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -1,5 +1,5 @@
 /* lav-soak: plays seeds, prints a line for each, and keeps the logs of those
- * in which a promise was broken. */
+ * in which a check failed. */
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -38,7 +38,7 @@
      NULL},
     {NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL}};
 
-/* A promise was broken. */
+/* Report that a check failed. */
 void
 soak_report_violation(soak_run *s, const char *format, ...)
 {
@@ -56,7 +56,7 @@
 {
     const char *services[HARNESS_NODES_MAX];
     harness_options options = {.drain_ms = SOAK_DRAIN_MAX_MS,
-                               .clock = s->opts.clocks ? SOK_CLOCK : NULL,
+                               .clock = s->opts.clocks ? SOAK_CLOCK : NULL,
                                .proxied = true};
     for (int i = 0; i < s->opts.nodes; i++) {
         services[i] = i % 3 == 0 ? "near" : "far";
