--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -6,11 +6,11 @@
 #include "mesh.h"
 #include "soak.h"
 
-#define SOAK_STEP_MS 20           /* how exactly faults begin and end */
-#define SOAK_ACTIVE_MAX 6         /* faults at a time */
-#define SOAK_GAP_MS 250           /* between two beginnings, on average */
-#define SOAK_JUMPS_OF 3           /* one fault of so many is a jump */
-#define SOAK_JUMP_MS 3600000      /* 1 h, either way, of the time of day */
+#define SOAK_STEP_MS 20          /* how exactly faults begin and end */
+#define SOAK_ACTIVE_MAX 6        /* faults at a time */
+#define SOAK_GAP_MS 250          /* between two beginnings, on average */
+#define SOAK_JUMPS_OF 3          /* one fault of so many is a jump */
+#define SOAK_JUMP_MS 3600000     /* 1 h, either way, of the time of day */
 #define SOAK_FAULTY_PERMILLE 300 /* of the requests, at faulty targets */
 
 typedef struct soak_fault soak_fault;
@@ -231,8 +231,7 @@
     {"kill", false, 50, 1500, soak_kill, soak_start_again, 0},
     {"pause", false, 100, 3000, soak_pause, soak_resume, 0},
     {"target crashes", false, 200, 1500, soak_crash, soak_crash_end, 0},
-    {"faulty targets", false, 500, 2000, soak_targets, soak_targets_end,
-     0},
+    {"faulty targets", false, 500, 2000, soak_targets, soak_targets_end, 0},
     {"connections reset", false, 50, 100, soak_reset, soak_nothing, 0},
     {"peers cut", false, 100, 2000, soak_peers, soak_peers_end,
      FAULT_PROXY_CLOSE},
