--- a/include/lav/chain_level.h
+++ b/include/lav/chain_level.h
@@ -34,9 +34,6 @@
  * succeed with the retries of usual times. */
 #define CHAIN_LEVEL_REFUSED_MIN 0.25
 
-/* Share of the chains that is begun in any case, to see calls succeed again. */
-#define CHAIN_LEVEL_SHARE_MIN 0.03
-
 /* All zero: nothing observed. */
 typedef struct chain_level_meter {
     int64_t since_us;     /* start of the window */
@@ -49,7 +46,7 @@
 void chain_level_count_end(chain_level_meter *meter, bool refused);
 bool chain_level_close_window(chain_level_meter *meter, int64_t now_us);
 double chain_level_factor(const chain_level_meter *meter, double retry_ratio);
-double chain_level_share(double level);
+double chain_level_get(const chain_level_meter *meter, double retry_ratio);
 
 #ifdef __cplusplus
 }
--- a/include/lav/downstream.h
+++ b/include/lav/downstream.h
@@ -52,10 +52,6 @@
 #define DOWNSTREAM_SPARED_FAILURE_SHARE_MIN 0.2
 #define DOWNSTREAM_SPARED_RUNS_MIN 40 /* runs that must have ended */
 
-/* Overload of a service below, demand per call served, above which the same
- * holds though no other route runs here: it may not be admitted. */
-#define DOWNSTREAM_SPARED_FACTOR_MIN 2.0
-
 /* An overloaded service, and by how much. */
 typedef struct downstream_overload {
     uint32_t service; /* hash of its name; 0: none */
--- a/include/lav/retry_budget.h
+++ b/include/lav/retry_budget.h
@@ -49,6 +49,11 @@
  * of the service itself. */
 #define RETRY_BUDGET_INHERITED_RATIO 0.5
 
+/* Where the budget is paced, so many slices in a row may use this part of it:
+ * what begins to fail must not use the retries of all that follows. */
+#define RETRY_BUDGET_PACE_SLICES 2
+#define RETRY_BUDGET_PACE_PART 0.2
+
 /* Time after the last call of a target for a service during which it counts as
  * a caller of the service. */
 #define RETRY_BUDGET_CALLER_TTL_US 5000000
@@ -86,12 +91,14 @@
     int64_t slice; /* number of the slice that is being filled */
     int requests[RETRY_BUDGET_RING];
     double retries[RETRY_BUDGET_RING];
+    bool paced;  /* retries are spread over the window */
     bool called; /* by the target beside this node */
     int64_t called_us;
 } retry_budget_window;
 
 void retry_budget_init(retry_budget_window *window,
                        const retry_budget_options *options);
+void retry_budget_set_paced(retry_budget_window *window, bool paced);
 void retry_budget_add_request(retry_budget_window *window,
                               double retry_probability, int64_t now_us);
 void retry_budget_add_call(retry_budget_window *window,
--- a/include/lav/service_level.h
+++ b/include/lav/service_level.h
@@ -31,11 +31,6 @@
  * a node hears of one at a time. */
 #define SERVICE_LEVEL_AVERAGE_US 100000
 
-/* Weight of what one caller of a service measures in the average of all.  The
- * averages are geometric, as a chain of calls breaks at any of them: one caller
- * that has retries left lets nobody in whose other calls find none. */
-#define SERVICE_LEVEL_CALLER_WEIGHT 0.4
-
 /* Age from which on a level that no report confirms rises ... */
 #define SERVICE_LEVEL_CONFIRMED_US 1000000
 
@@ -59,7 +54,6 @@
     double level;           /* the newest average, or made here */
     int64_t measured_at_us; /* of the newest report */
     int64_t limited_at_us;  /* when the level was last below 1 */
-    bool by_callers;        /* this node measures it as one of many callers */
 } service_level_entry;
 
 /* All zero: no service is limited. */
@@ -70,8 +64,6 @@
 
 void service_level_merge(service_level_table *table,
                          const service_level_report *report, int64_t now_us);
-void service_level_merge_caller(service_level_table *table, uint32_t service,
-                                double level, int64_t now_us);
 double service_level_get(const service_level_table *table, uint32_t service,
                          int64_t now_us);
 int64_t service_level_age_us(const service_level_table *table,
--- a/include/lav/shedder.h
+++ b/include/lav/shedder.h
@@ -40,12 +40,6 @@
 #define SHEDDER_AGREED_MIN 0.25
 #define SHEDDER_AGREED_WEIGHT 0.3
 
-/* The same, counted from 0.5 since that service was first named, from which on it
- * limits the chains of the route as well: a route that is hardly admitted gets
- * hardly any further reports, so an error would last. */
-#define SHEDDER_CONFIRMED_START 0.5
-#define SHEDDER_CONFIRMED_MIN 0.7
-
 #define SHEDDER_COST_WEIGHT 0.2 /* of one report in the moving average */
 
 /* Cost of a request whose cost is not known, 1 ms. */
--- a/src/core/chain_level.c
+++ b/src/core/chain_level.c
@@ -39,11 +39,11 @@
     return true;
 }
 
-/* Returns the share of the requests whose calls would find retries enough in
- * the long run, where the budget allows `retry_ratio` retries a call:
- * SERVICE_LEVEL_MIN to SERVICE_LEVEL_MAX. */
-static double
-chain_level_lasting(const chain_level_meter *meter, double retry_ratio)
+/* Returns the share of the requests whose calls find retries enough, where the
+ * budget allows `retry_ratio` retries a call: SERVICE_LEVEL_MIN to
+ * SERVICE_LEVEL_MAX. */
+double
+chain_level_get(const chain_level_meter *meter, double retry_ratio)
 {
     double served = 1 - meter->refused_share;
     double needed = meter->refused_share; /* retries a call, times `served` */
@@ -59,15 +59,6 @@
 double
 chain_level_factor(const chain_level_meter *meter, double retry_ratio)
 {
-    double level = chain_level_lasting(meter, retry_ratio);
+    double level = chain_level_get(meter, retry_ratio);
     return level >= 1 ? 0 : MIN(1 / level, OVERLOAD_FACTOR_MAX);
 }
-
-/* Returns the share of the chains that is begun at a level: all at 1, nearly
- * none at the lowest. */
-double
-chain_level_share(double level)
-{
-    double share = (level - SERVICE_LEVEL_MIN) / (1 - SERVICE_LEVEL_MIN);
-    return CLAMP(share, CHAIN_LEVEL_SHARE_MIN, 1);
-}
--- a/src/core/downstream.c
+++ b/src/core/downstream.c
@@ -238,8 +238,7 @@
     return false;
 }
 
-/* Notes that a route succeeds while others fail, or a service below is far from
- * serving what it is sent; or that it doesn't. */
+/* Notes that a route succeeds while others fail, or that it doesn't. */
 static void
 downstream_update_spared(const downstream_table *table,
                          downstream_route *entry, int64_t now_us)
@@ -249,10 +248,8 @@
         entry->spared_until_us = 0;
     }
     else if (table->whole && entry->ended == DOWNSTREAM_SPARED_RUNS_MIN &&
-             (downstream_is_any_failing(table,
-                                        DOWNSTREAM_SPARED_FAILURE_SHARE_MIN) ||
-              downstream_worst_callee(table, now_us).factor >
-                  DOWNSTREAM_SPARED_FACTOR_MIN)) {
+             downstream_is_any_failing(table,
+                                       DOWNSTREAM_SPARED_FAILURE_SHARE_MIN)) {
         entry->spared_until_us = now_us + DOWNSTREAM_DEPENDENCY_TTL_US;
     }
 }
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -26,6 +26,13 @@
     window->options.fleet_started_us = fleet_started_us;
 }
 
+/* Sets whether the retries are spread over the window. */
+void
+retry_budget_set_paced(retry_budget_window *window, bool paced)
+{
+    window->paced = paced;
+}
+
 /* Returns the index of a slice in the ring. */
 static int
 retry_budget_index(int64_t slice)
@@ -186,6 +193,19 @@
     return usage.used < usage.allowed * RETRY_BUDGET_INHERITED_RATIO;
 }
 
+/* Whether the last slices have used their part of a paced budget. */
+static bool
+retry_budget_is_ahead(const retry_budget_window *window,
+                      const retry_budget_usage *usage)
+{
+    double used = 0;
+    for (int age = 0; age < RETRY_BUDGET_PACE_SLICES; age++) {
+        used += retry_budget_retries(window, age);
+    }
+    return window->paced &&
+           used + 1 > MAX(usage->allowed * RETRY_BUDGET_PACE_PART, 1);
+}
+
 /* Whether one more retry may be sent; counts it if so. */
 bool
 retry_budget_take(retry_budget_window *window, int64_t now_us)
@@ -196,6 +216,10 @@
         window->totals.denied++;
         return false;
     }
+    if (retry_budget_is_ahead(window, &usage)) {
+        window->totals.denied++;
+        return false;
+    }
     window->retries[retry_budget_index(window->slice)]++;
     window->totals.taken++;
     return true;
--- a/src/core/service_level.c
+++ b/src/core/service_level.c
@@ -44,33 +44,6 @@
     return entry;
 }
 
-/* Returns the level of an entry, which rises if no report has confirmed it. */
-static double
-service_level_current(const service_level_entry *entry, int64_t now_us)
-{
-    int64_t unconfirmed_us =
-        now_us - entry->measured_at_us - SERVICE_LEVEL_CONFIRMED_US;
-    if (unconfirmed_us <= 0) {
-        return MIN(entry->level, 1);
-    }
-    return MIN(entry->level * exp2((double)unconfirmed_us /
-                                   (double)SERVICE_LEVEL_DOUBLING_US),
-               1);
-}
-
-/* Notes a report that is older than what is known.  Of a level that callers
- * measure, one that says that others limit it makes this node tell its own:
- * those that find no need to limit would be silent otherwise. */
-static void
-service_level_note_older(service_level_entry *entry,
-                         const service_level_report *report,
-                         int64_t measured_at_us)
-{
-    if (entry->by_callers && report->level < 1) {
-        entry->limited_at_us = MAX(entry->limited_at_us, measured_at_us);
-    }
-}
-
 /* Merges a report that was measured here or came from another node.  One that
  * is old, or not newer than what is known, is ignored, and so is one about a
  * service that has not been limited.  What an instance measured is averaged with those
@@ -97,7 +70,6 @@
     }
     int64_t newer_us = measured_at_us - entry->measured_at_us;
     if (newer_us <= 0) {
-        service_level_note_older(entry, report, measured_at_us);
         return;
     }
     double weight =
@@ -112,37 +84,18 @@
     }
 }
 
-/* Moves an entry towards a level that is measured now, as a geometric average
- * of many. */
-static void
-service_level_move(service_level_entry *entry, double level, double weight,
-                   int64_t now_us)
-{
-    entry->by_callers = true;
-    entry->level *= pow(level / entry->level, weight);
-    entry->level = CLAMP(entry->level, SERVICE_LEVEL_MIN, SERVICE_LEVEL_MAX);
-    entry->measured_at_us = now_us;
-    if (entry->level < 1) {
-        entry->limited_at_us = now_us;
-    }
-}
-
-/* Merges the level that this node measures now as one of the callers of a
- * service. */
-void
-service_level_merge_caller(service_level_table *table, uint32_t service,
-                           double level, int64_t now_us)
+/* Returns the level of an entry, which rises if no report has confirmed it. */
+static double
+service_level_current(const service_level_entry *entry, int64_t now_us)
 {
-    service_level_entry *entry = service_level_find(table, service);
-    if (entry == NULL && level < 1) {
-        entry = service_level_add(table, service, now_us);
-        if (entry != NULL) {
-            entry->level = 1;
-        }
-    }
-    if (entry != NULL) {
-        service_level_move(entry, level, SERVICE_LEVEL_CALLER_WEIGHT, now_us);
+    int64_t unconfirmed_us =
+        now_us - entry->measured_at_us - SERVICE_LEVEL_CONFIRMED_US;
+    if (unconfirmed_us <= 0) {
+        return MIN(entry->level, 1);
     }
+    return MIN(entry->level * exp2((double)unconfirmed_us /
+                                   (double)SERVICE_LEVEL_DOUBLING_US),
+               1);
 }
 
 /* Returns the share of the requests that lead to a service that is admitted,
--- a/src/core/shedder.c
+++ b/src/core/shedder.c
@@ -16,17 +16,15 @@
 } shedder_class;
 
 typedef struct shedder_route {
-    int service;      /* index in the services */
-    double cost_us;   /* slot time that a request takes there */
-    bool direct;      /* the requests run there, and make no calls to it */
-    double agreed;    /* share of the recent reports that name that service */
-    double confirmed; /* the same, with SHEDDER_CONFIRMED_START before them */
+    int service;    /* index in the services */
+    double cost_us; /* slot time that a request takes there */
+    bool direct;    /* the requests run there, and make no calls to it */
+    double agreed;  /* share of the recent reports that name that service */
 } shedder_route;
 
 typedef struct shedder_service {
     uint32_t service;
     double floor; /* fraction of the level reserved for each priority */
-    double least; /* share of each priority's requests reserved for it */
     double level; /* that the shares are divided by; 1: all are admitted */
     int64_t updated_at_us;
     shedder_class classes[SHEDDER_PRIORITIES_MAX]; /* highest priority first */
@@ -116,13 +114,13 @@
  * that admits everything when the table is full, whose routes are forgotten.
  * NULL if there is none. */
 static shedder_service *
-shedder_get(shedder_state *state, uint32_t service, double floor, double least)
+shedder_get(shedder_state *state, uint32_t service, double floor)
 {
     shedder_service *entry = shedder_find(state, service);
     if (entry == NULL && state->count < SHEDDER_SERVICES_MAX) {
         entry = &state->services[state->count++];
-        *entry = (shedder_service){
-            .service = service, .floor = floor, .least = least, .level = 1};
+        *entry =
+            (shedder_service){.service = service, .floor = floor, .level = 1};
     }
     for (int i = 0; entry == NULL && i < state->count; i++) {
         if (state->services[i].level >= 1) {
@@ -130,10 +128,8 @@
                                         &i);
             entry = &state->services[i];
             shedder_clear_service(entry);
-            *entry = (shedder_service){.service = service,
-                                       .floor = floor,
-                                       .least = least,
-                                       .level = 1};
+            *entry = (shedder_service){
+                .service = service, .floor = floor, .level = 1};
         }
     }
     return entry;
@@ -156,11 +152,10 @@
     for (int i = 0; i < entry->class_count; i++) {
         total += entry->classes[i].cost_us;
     }
-    double reserved = MAX(entry->floor, MIN(entry->least / entry->level, 1));
-    double remaining = total * entry->level * (1 - reserved);
+    double remaining = total * entry->level * (1 - entry->floor);
     for (int i = 0; i < entry->class_count; i++) {
         shedder_class *class = &entry->classes[i];
-        double floor = class->cost_us * entry->level * reserved;
+        double floor = class->cost_us * entry->level * entry->floor;
         double extra = MIN(class->cost_us - floor, remaining);
         remaining -= extra;
         class->share =
@@ -182,9 +177,6 @@
     }
     entry->updated_at_us = now_us;
     entry->level = service_level_get(state->levels, entry->service, now_us);
-    if (entry->least > 0) {
-        entry->level = chain_level_share(entry->level);
-    }
     shedder_split_level(entry);
     double kept = exp(-(double)passed_us / SHEDDER_MIX_MEMORY_US);
     for (int i = 0; i < entry->class_count; i++) {
@@ -218,7 +210,7 @@
     const shedder_service *entry =
         chain_overload->service != 0
             ? shedder_get(state, chain_overload->service,
-                          SHEDDER_PRIORITY_SHARE_MIN, 0)
+                          SHEDDER_PRIORITY_SHARE_MIN)
             : NULL;
     if (entry == NULL) {
         return;
@@ -230,12 +222,10 @@
         known->service = index;
         known->direct = direct;
         known->agreed = 1;
-        known->confirmed = SHEDDER_CONFIRMED_START;
         g_hash_table_insert(state->routes, GUINT_TO_POINTER(route), known);
     }
-    double named = known->service == index ? 1 : 0;
-    known->agreed += (named - known->agreed) * SHEDDER_AGREED_WEIGHT;
-    known->confirmed += (named - known->confirmed) * SHEDDER_AGREED_WEIGHT;
+    known->agreed += ((known->service == index ? 1 : 0) - known->agreed) *
+                     SHEDDER_AGREED_WEIGHT;
     if (known->service == index) {
         known->cost_us += known->cost_us == 0
                               ? chain_overload->cost_us
@@ -247,8 +237,7 @@
     if ((state->whole && known->agreed < SHEDDER_AGREED_MIN) ||
         shedder_get_lowest(state, current, now_us) >=
             shedder_get_lowest(state, entry->service, now_us)) {
-        *known = (shedder_route){index, chain_overload->cost_us, direct, 1,
-                                 SHEDDER_CONFIRMED_START};
+        *known = (shedder_route){index, chain_overload->cost_us, direct, 1};
     }
 }
 
@@ -324,23 +313,14 @@
 }
 
 /* Returns the entry for the chains that call a service; NULL while they are not
- * limited apart from it.  At the lowest level no more of the important requests
- * are tried than of others. */
+ * limited apart from it. */
 static shedder_service *
 shedder_get_chains(shedder_state *state, uint32_t service, int64_t now_us)
 {
     uint32_t key = chain_level_key(service);
     return service_level_age_us(state->levels, key, now_us) < 0
                ? NULL
-               : shedder_get(state, key, 0, CHAIN_LEVEL_SHARE_MIN);
-}
-
-/* Whether the requests on a route are chains that call the service that limits
- * it. */
-static bool
-shedder_limits_chains(const shedder_route *route)
-{
-    return !route->direct && route->confirmed >= SHEDDER_CONFIRMED_MIN;
+               : shedder_get(state, key, 0);
 }
 
 /* Whether to admit an external request of a workspace; NULL: of none. */
@@ -350,7 +330,7 @@
 {
     const shedder_route *known = shedder_find_route(state, route);
     shedder_service *chains = NULL;
-    if (known != NULL && shedder_limits_chains(known)) {
+    if (known != NULL && !known->direct) {
         chains = shedder_get_chains(
             state, state->services[known->service].service, now_us);
         known = shedder_find_route(state, route); /* its entry may be gone */
@@ -392,7 +372,7 @@
     }
     const shedder_service *entry = &state->services[known->service];
     double share = shedder_class_share(entry, priority);
-    if (shedder_limits_chains(known)) {
+    if (!known->direct) {
         share *= shedder_class_share(
             shedder_find(state, chain_level_key(entry->service)), priority);
     }
--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -273,7 +273,6 @@
         r->weight =
             downstream_record_call(n->downstream, route->key, n->l->now_us);
         retry_budget_add_call(budget, r->retry_probability, n->l->now_us);
-        runtime_count_chain_call(n, q->service);
     }
     else {
         retry_budget_add_request(budget, 0, n->l->now_us);
--- a/src/flow/frontend_attempt.c
+++ b/src/flow/frontend_attempt.c
@@ -137,7 +137,6 @@
     }
     retry_budget_window *budget = runtime_retry_budget(q->n, q->service);
     bool room_below = true;
-    bool taken = false;
     switch (retry_decide(&input)) {
     case RETRY_REROUTE:
         q->reroutes++;
@@ -149,11 +148,7 @@
             return false;
         }
         room_below = frontend_is_retry_taken(q);
-        taken = room_below && retry_budget_take(budget, now_us);
-        if (q->r.depth > 0) {
-            runtime_count_chain_failure(q->n, q->service, taken);
-        }
-        if (!taken) {
+        if (!room_below || !retry_budget_take(budget, now_us)) {
             counter_add_reason(REASON_RETRY_BUDGET_SPENT);
             frontend_log_denied_retry(q, budget, room_below);
             return false;
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -170,6 +170,20 @@
                : 1;
 }
 
+/* Counts a call that ended for the level of the chains that come here, and
+ * tells that level. */
+static void
+local_target_count_chains(local_target *t, bool refused)
+{
+    chain_level_count_end(&t->chains, refused);
+    if (chain_level_close_window(&t->chains, t->n->l->now_us) &&
+        local_target_limits_chains(t)) {
+        runtime_merge_target_level(
+            t->n, chain_level_key(t->n->service_hash),
+            chain_level_get(&t->chains, t->n->settings.retry_ratio));
+    }
+}
+
 /* Returns the worst overload on the call chain of a route that runs here. */
 downstream_overload
 local_target_overload(local_target *t, uint32_t route)
@@ -397,8 +411,7 @@
     if (failed) {
         overload_count_failed(&t->overload);
     }
-    chain_level_count_end(&t->chains, failed);
-    chain_level_close_window(&t->chains, now_us);
+    local_target_count_chains(t, failed);
     target_queue_end_call(t->queue, call->handle, failed ? -1 : took_us,
                           now_us);
     local_target_end_run(call);
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -5,8 +5,6 @@
 #include <string.h>
 
 #include "http_listener.h"
-#include "lav/chain_level.h"
-#include "lav/chain_retries.h"
 #include "lav/clock.h"
 #include "lav/id.h"
 #include "lav/log.h"
@@ -69,8 +67,6 @@
     n->decode = decode;
     n->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    n->chain_retries =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     n->peer_requests = g_hash_table_new(g_int64_hash, g_int64_equal);
     int result = runtime_self_init(n, e);
     if (result == 0 &&
@@ -104,7 +100,6 @@
     retry_share_free(n->retry_shares);
     shedder_free(n->shedder);
     routing_free(n->routes);
-    g_hash_table_destroy(n->chain_retries);
     g_hash_table_destroy(n->retry_budgets);
     g_hash_table_destroy(n->peer_requests);
     g_free(n->config_text);
@@ -210,6 +205,7 @@
     }
     retry_budget_set_nodes(budget, instance_count(n->fleet));
     retry_budget_set_fleet_start(budget, runtime_fleet_start_us(n));
+    retry_budget_set_paced(budget, n->whole);
     return budget;
 }
 
@@ -265,67 +261,6 @@
     }
 }
 
-/* Returns the meter of the calls that the target of this node makes to a
- * service; NULL unless the service takes long requests beside them, whose chains
- * are then admitted by their retries. */
-static chain_retries_meter *
-runtime_chain_retries(runtime *n, const char *service)
-{
-    if (n->routes == NULL || !routing_serves_mixed_work(n->routes, service)) {
-        return NULL;
-    }
-    chain_retries_meter *meter =
-        g_hash_table_lookup(n->chain_retries, service);
-    if (meter == NULL) {
-        meter = g_new0(chain_retries_meter, 1);
-        g_hash_table_insert(n->chain_retries, g_strdup(service), meter);
-    }
-    return meter;
-}
-
-/* Tells the level of the chains that call a service, if one is due. */
-static void
-runtime_update_chain_level(runtime *n, chain_retries_meter *meter,
-                           const char *service)
-{
-    int64_t now_us = n->l->now_us;
-    if (!chain_retries_is_due(meter, now_us)) {
-        return;
-    }
-    uint32_t key = chain_level_key((uint32_t)id_hash(service));
-    retry_budget_usage usage =
-        retry_budget_get_usage(runtime_retry_budget(n, service));
-    chain_retries_state state = {
-        chain_level_share(service_level_get(&n->levels, key, now_us)),
-        usage.allowed - usage.used, n->settings.retry_ratio};
-    service_level_merge_caller(
-        &n->levels, key, chain_retries_close_window(meter, &state, now_us),
-        now_us);
-}
-
-/* Counts a call of the target beside this node for the level of the chains that
- * call a service. */
-void
-runtime_count_chain_call(runtime *n, const char *service)
-{
-    chain_retries_meter *meter = runtime_chain_retries(n, service);
-    if (meter != NULL) {
-        chain_retries_count_call(meter);
-        runtime_update_chain_level(n, meter, service);
-    }
-}
-
-/* The same, of an attempt at such a call that failed. */
-void
-runtime_count_chain_failure(runtime *n, const char *service, bool retried)
-{
-    chain_retries_meter *meter = runtime_chain_retries(n, service);
-    if (meter != NULL) {
-        chain_retries_count_failure(meter, retried);
-        runtime_update_chain_level(n, meter, service);
-    }
-}
-
 /* Takes the admission level that a target measures, as it serves a call of
  * this node.  Refusals don't count: a target that is slower than others refuses
  * more calls. */
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -87,7 +87,6 @@
     int64_t started_us;
     bool first_start;           /* no earlier start of the node is known of */
     GHashTable *retry_budgets;  /* service -> retry_budget_window */
-    GHashTable *chain_retries;  /* service -> chain_retries_meter */
     GHashTable *peer_requests;  /* nonce -> peer_server_request */
     struct local_target *local; /* the target of this node */
     struct prober *prober;      /* probes unreachable nodes */
@@ -118,9 +117,6 @@
 void runtime_record_overload(runtime *n, uint32_t route, uint32_t runs_at,
                              enum origin_kind origin,
                              const downstream_overload *chain_overload);
-void runtime_count_chain_call(runtime *n, const char *service);
-void runtime_count_chain_failure(runtime *n, const char *service,
-                                 bool retried);
 void runtime_merge_target_level(runtime *n, uint32_t service, double level);
 void runtime_merge_levels(runtime *n, const hop_levels *levels);
 void runtime_list_levels(hop_levels *out, const runtime *n, uint32_t except);
