admission: whole requests are a setting, off by default

Cause: admission by whole chains came with mixed work in the desired state, but does not serve more there.

Change: admission.whole_requests in a node's settings file, false by default, read again with the others. What else comes with mixed work stays as it is: the target's queue, placing, and few readers of the store.

--- a/include/lav/proxycfg.h
+++ b/include/lav/proxycfg.h
@@ -1,11 +1,12 @@
 /*
  * proxycfg: settings file of a node's proxy (TOML), read at startup and at
  * each reload: name and zone, listen addresses, the local target, the
- * platform's store, timeouts, and the retry budget.
+ * platform's store, timeouts, the retry budget, and admission.
  */
 #ifndef LAV_PROXYCFG_H
 #define LAV_PROXYCFG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "lav/err.h"
@@ -36,6 +37,8 @@
     double retry_ratio;    /* retries per request of a service */
     double retry_slack;    /* further retries, shared by all nodes */
     int64_t retry_window_ms; /* sliding window of the retry budget */
+    bool whole_requests;     /* requests are admitted by what their chains need
+                              * where a service takes mixed work */
 } proxycfg;
 
 int proxycfg_parse(proxycfg *out, const char *text, const char *path, err *e);
--- a/src/config/proxycfg.c
+++ b/src/config/proxycfg.c
@@ -24,8 +24,8 @@
 
 static const char *const proxycfg_log_levels[] = {"debug", "info", "warn",
                                                   "error", NULL};
-static const char *const proxycfg_tables[] = {"node", "addresses", "target",
-                                              "retries", NULL};
+static const char *const proxycfg_tables[] = {"node",    "addresses", "target",
+                                              "retries", "admission", NULL};
 
 static const toml_field proxycfg_node_fields[] = {
     PROXYCFG_TEXT("name", name, true),
@@ -59,6 +59,11 @@
     PROXYCFG_DURATION("window", retry_window_ms),
 };
 
+static const toml_field proxycfg_admission_fields[] = {
+    {"whole_requests", TOML_BOOL, offsetof(proxycfg, whole_requests), false, 0,
+     0, NULL},
+};
+
 /* Parse the text of a settings file; `path` is named in errors.  On failure
  * `out` is incomplete and must not be used. */
 int
@@ -94,6 +99,11 @@
             toml_read_table(out, doc, "retries", proxycfg_retry_fields,
                             PROXYCFG_ARRAY_SIZE(proxycfg_retry_fields), e);
     }
+    if (result == 0) {
+        result =
+            toml_read_table(out, doc, "admission", proxycfg_admission_fields,
+                            PROXYCFG_ARRAY_SIZE(proxycfg_admission_fields), e);
+    }
     toml_free(doc);
     return result;
 }
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -153,7 +153,7 @@
                                     .priority = r->priority,
                                     .objective_us = r->objective_us,
                                     .deadline_us = r->deadline_us};
-    target_queue_set_mixed(t->queue, local_target_limits_chains(t), now_us);
+    target_queue_set_mixed(t->queue, local_target_takes_mixed_work(t), now_us);
     admission_result verdict = target_queue_decide(t->queue, &request, now_us);
     if (verdict.displaced != ADMISSION_NONE) {
         local_target_fail_call(t->calls[verdict.displaced], OUTCOME_NOT_RUN,
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -116,6 +116,7 @@
 void local_target_update_rate(local_target *t, const http_head *head);
 void local_target_update_leaving(local_target *t, const http_head *head);
 void local_target_update_load(local_target *t, const http_head *head);
+bool local_target_takes_mixed_work(const local_target *t);
 bool local_target_limits_chains(const local_target *t);
 double local_target_time_share(const local_target *t,
                                const attempt_request *r);
--- a/src/flow/local_target_state.c
+++ b/src/flow/local_target_state.c
@@ -144,10 +144,18 @@
 }
 
 /* Whether calls of many requests come to the target beside long requests of
- * its own, so that chains are admitted apart from those. */
+ * its own. */
 bool
-local_target_limits_chains(const local_target *t)
+local_target_takes_mixed_work(const local_target *t)
 {
     return t->n->routes != NULL &&
            routing_serves_mixed_work(t->n->routes, t->n->settings.service);
 }
+
+/* Whether chains that lead to the target are admitted apart from its own
+ * requests. */
+bool
+local_target_limits_chains(const local_target *t)
+{
+    return t->n->whole && local_target_takes_mixed_work(t);
+}
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -128,6 +128,17 @@
     }
 }
 
+/* Takes over whether requests are admitted by what their chains need: where the
+ * settings say so and a service takes mixed work. */
+void
+runtime_update_whole(runtime *n)
+{
+    n->whole = n->settings.whole_requests && n->routes != NULL &&
+               routing_has_mixed_work(n->routes);
+    downstream_set_whole(n->downstream, n->whole);
+    shedder_set_whole(n->shedder, n->whole);
+}
+
 /* Applies a desired state received from `source`, a static text; `text` need
  * not be terminated.  Returns ERR_CONFLICT if it is not newer than the one in
  * force, or the decoder's error. */
@@ -154,9 +165,7 @@
     runtime_log_workspaces(routes);
     routing_free(n->routes);
     n->routes = routes;
-    n->whole = routing_has_mixed_work(routes);
-    downstream_set_whole(n->downstream, n->whole);
-    shedder_set_whole(n->shedder, n->whole);
+    runtime_update_whole(n);
     g_free(n->config_text);
     n->config_text = g_strndup(text, length);
     n->config_length = length;
--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -120,6 +120,7 @@
 void runtime_free(runtime *n);
 int runtime_apply_config(runtime *n, const char *text, size_t length,
                          const char *source);
+void runtime_update_whole(runtime *n);
 uint64_t runtime_config_version(const runtime *n);
 retry_budget_window *runtime_retry_budget(runtime *n, const char *service);
 void runtime_merge_member(runtime *n, const instance_record *record,
--- a/tests/unit/chain_test.c
+++ b/tests/unit/chain_test.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 
 #include "lav/chain_level.h"
+#include "lav/proxycfg.h"
 #include "lav/clock.h"
 #include "lav/shedder.h"
 
@@ -149,3 +150,41 @@
         shedder_free(shedder);
     }
 }
+
+typedef struct setting_case {
+    const char *lines; /* of the settings file */
+    bool valid;
+    bool whole;
+} setting_case;
+
+static const setting_case setting_cases[] = {
+    {"", true, false},
+    {"[admission]\n", true, false},
+    {"[admission]\nwhole_requests = false\n", true, false},
+    {"[admission]\nwhole_requests = true\n", true, true},
+    {"[admission]\nwhole_requests = \"true\"\n", false, false},
+    {"[admission]\nwhole_request = true\n", false, false},
+};
+
+/* Chains are admitted whole only where the settings say so. */
+Test(chain, settings)
+{
+    for (size_t i = 0; i < COUNT(setting_cases); i++) {
+        const setting_case *c = &setting_cases[i];
+        char text[1024];
+        err e = ERR_INIT;
+        proxycfg settings;
+        snprintf(text, sizeof(text),
+                 "[node]\nname = \"n\"\nzone = \"z\"\n[addresses]\n"
+                 "callers = \"127.0.0.1:1\"\npeers = \"127.0.0.1:2\"\n"
+                 "control = \"127.0.0.1:3\"\nready = \"127.0.0.1:4\"\n"
+                 "store = \"127.0.0.1:5\"\n[target]\nservice = \"s\"\n"
+                 "address = \"127.0.0.1:6\"\n%s",
+                 c->lines);
+        int result = proxycfg_parse(&settings, text, "settings", &e);
+        cr_assert_eq(result == 0, c->valid, "case %zu: %s", i, e.message);
+        if (c->valid) {
+            cr_expect_eq(settings.whole_requests, c->whole, "case %zu", i);
+        }
+    }
+}
