usage tests: a bucket that was full meanwhile is given less

Two mutants were missed by the property tests: the bound that these keep has room for half a second of the rate. A table and a test of the owner catch them.

--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -14,7 +14,8 @@
 
 static workspace usage_caps[] = {
     {.name = "small", .id = 1, .rate_per_s = 2, .burst = 2},
-    {.name = "free", .id = 2}};
+    {.name = "free", .id = 2},
+    {.name = "no burst", .id = 9, .rate_per_s = 1000}};
 
 /* Looks up a workspace of the tests. */
 static const workspace *
@@ -352,3 +353,34 @@
         usage_owner_free(owner);
     }
 }
+
+/* Lends half of slot 1 to an owner and asks for "no burst"; what is granted. */
+static int
+usage_lend_half(usage_owner *owner, uint64_t lender, uint64_t sequence,
+                int64_t now_us)
+{
+    usage_answer answer;
+    usage_ask ask = {.slot = 1,
+                     .lender = lender,
+                     .sequence = sequence,
+                     .epoch = 3,
+                     .until_us = now_us + LEASE_US,
+                     .members = 2,
+                     .quiet_us = CLOCK_US_PER_S,
+                     .count = 1,
+                     .wants = {{9, 100, 0, 0}}};
+    usage_owner_handle(&answer, owner, &ask, 2, now_us);
+    return answer.grants[0].count;
+}
+
+Test(usage, a_bucket_that_was_full_is_given_less)
+{
+    usage_owner *owner = NULL;
+    int64_t now_us = 10 * CLOCK_US_PER_S;
+    cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
+    cr_expect_eq(usage_lend_half(owner, 1, 1, now_us), 0);
+    now_us += 400000;
+    cr_expect_eq(usage_lend_half(owner, 1, 2, now_us), 2);
+    cr_expect_eq(usage_lend_half(owner, 2, 1, now_us), 3);
+    usage_owner_free(owner);
+}
