--- a/src/node/callers/router_private.h
+++ b/src/node/callers/router_private.h
@@ -107,6 +107,16 @@
 /* router_start.c */
 void router_start_call(router_state *r, int handle, int64_t now_us);
 
+/* router_select.c */
+bool router_find_member(swim_member *out, router_state *r,
+                        uint64_t incarnation);
+bool router_select_instance(swim_member *out, enum reason *out_reason,
+                            router_state *r, int handle, int64_t now_us);
+bool router_is_refused_early(router_state *r, int handle, int64_t now_us);
+int router_get_operation_level(router_state *r, const char *service,
+                               const char *operation, bool idempotent,
+                               int64_t now_us);
+
 /* router_attempt.c */
 void router_send_attempt(router_state *r, int handle, int64_t now_us);
 void router_on_attempt_done(router_state *r, int handle,
@@ -114,10 +124,6 @@
 void router_cancel_attempt(router_state *r, int handle, int64_t now_us);
 void router_on_cancel_done(router_state *r, int handle,
                            const router_event *event, int64_t now_us);
-bool router_is_refused_early(router_state *r, int handle, int64_t now_us);
-int router_get_operation_level(router_state *r, const char *service,
-                               const char *operation, bool idempotent,
-                               int64_t now_us);
 
 /* router_finish.c */
 void router_respond(router_state *r, int handle, enum reason reason,
