--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -65,6 +65,8 @@
 void harness_write_response(int fd, int status, const char *headers,
                             const char *body, size_t length);
 void harness_serve_store(int fd, int index);
+int harness_add_waiting(const char *kind);
+void harness_remove_waiting(int place);
 void harness_count_stale_read(const char *kind);
 int64_t harness_stale_age_us(void);
 void harness_reset_stale_reads(void);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -14,7 +14,6 @@
 #define HARNESS_EVENTS_MAX 1024 /* older ones are dropped */
 #define HARNESS_WATCH_POLLS 200
 #define HARNESS_WATCH_POLL_MS 10
-#define HARNESS_WAITING_MAX 64
 
 typedef struct harness_object {
     char kind[32];
@@ -41,8 +40,6 @@
                                        * from before gets 410 */
 static int harness_store_writes;
 static int harness_store_reads;
-static char harness_waiting_kinds[HARNESS_WAITING_MAX][32]; /* of the watches
-                                                 * that wait; empty: none */
 static enum harness_store_mode harness_current_store_mode;
 
 /* Set how the store handles the requests that arrive from now on. */
@@ -74,48 +71,6 @@
     return reads;
 }
 
-/* Watches of a kind that wait for a change. */
-int
-harness_store_waiting_count(const char *kind)
-{
-    int count = 0;
-    pthread_mutex_lock(&harness_lock);
-    for (int i = 0; i < HARNESS_WAITING_MAX; i++) {
-        count += strcmp(harness_waiting_kinds[i], kind) == 0;
-    }
-    pthread_mutex_unlock(&harness_lock);
-    return count;
-}
-
-/* Note a watch that begins to wait; returns its place, or -1 if there is none
- * left. */
-static int
-harness_add_waiting(const char *kind)
-{
-    int place = -1;
-    pthread_mutex_lock(&harness_lock);
-    for (int i = 0; i < HARNESS_WAITING_MAX && place < 0; i++) {
-        if (harness_waiting_kinds[i][0] == '\0') {
-            snprintf(harness_waiting_kinds[i],
-                     sizeof(harness_waiting_kinds[i]), "%s", kind);
-            place = i;
-        }
-    }
-    pthread_mutex_unlock(&harness_lock);
-    return place;
-}
-
-/* Remove the note of a watch; takes -1. */
-static void
-harness_remove_waiting(int place)
-{
-    if (place >= 0) {
-        pthread_mutex_lock(&harness_lock);
-        harness_waiting_kinds[place][0] = '\0';
-        pthread_mutex_unlock(&harness_lock);
-    }
-}
-
 /* Empty the store; revisions continue from the last one. */
 void
 harness_store_reset(void)
