mesh_news tests: whether a node reads is told by its last line

Which nodes ask was told by counting both kinds of lines, which holds only if a node's first line is that of a reader; one that knows the fleet before the desired state begins with the other.

--- a/tests/integration/mesh_news_test.c
+++ b/tests/integration/mesh_news_test.c
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "lav/clock.h"
 #include "mesh.h"
@@ -15,6 +16,7 @@
 #define SETTLE_MS 3000   /* the store's longest poll, and some */
 #define DRAIN_MS 400     /* default of the deployment */
 #define CALLS 60
+#define LINE_SIZE 4096
 #define SAMPLES 30 /* more than half must be good: the machine may be busy */
 #define SAMPLE_MS 100
 #define NEWS_ROUTES                                                           \
@@ -26,15 +28,24 @@
     "[{\"name\":\"alpha\",\"api_keys\":[\"key-a\"],\"priority\":1,"           \
     "\"rate_per_s\":0,\"burst\":0}]"
 
-/* Whether a node doesn't read, by the last of the lines that it logs: of such
- * and of others in turn, the first ones being those of a small fleet. */
+/* Whether a node doesn't read, by the last line that it logged of that. */
 static bool
 only_asks(int node)
 {
-    return harness_log_count(node, "\"event\":\"store_reader\",\"reads\":"
-                                   "false") >=
-           harness_log_count(node, "\"event\":\"store_reader\",\"reads\":"
-                                   "true");
+    char path[128];
+    char line[LINE_SIZE];
+    bool asks = false;
+    snprintf(path, sizeof(path), "%s/node%d.log", harness_log_dir(), node);
+    FILE *file = fopen(path, "r");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        if (strstr(line, "\"event\":\"store_reader\"") != NULL) {
+            asks = strstr(line, "\"reads\":false") != NULL;
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+    return asks;
 }
 
 static int
