--- a/tests/unit/usage_test.c
+++ b/tests/unit/usage_test.c
@@ -329,7 +329,7 @@
          i < sizeof(usage_credit_cases) / sizeof(usage_credit_cases[0]); i++) {
         const struct usage_credit_case *c = &usage_credit_cases[i];
         usage_owner *owner = NULL;
-        usage_answer answer;
+        usage_answer answer = {0};
         int64_t now_us = 100 * CLOCK_US_PER_S;
         cr_assert_eq(usage_owner_new(&owner, 3, usage_find, NULL), 0);
         for (int j = 0; j < c->lenders; j++) {
