workspace_counts: one sum of refusals for nodes and tools

Cause: node_metrics.c added up the outcomes that are refusals in a copy of workspace_counts.c's loop.

--- a/include/lav/workspace_counts.h
+++ b/include/lav/workspace_counts.h
@@ -44,6 +44,7 @@
                           enum workspace_outcome outcome);
 size_t workspace_counts_most_refused(workspace_counts_entry *out, size_t max,
                                      const workspace_counts *counts);
+uint64_t workspace_outcomes_refused(const uint64_t *counts);
 const char *workspace_outcome_name(enum workspace_outcome outcome);
 enum workspace_outcome workspace_outcome_of(enum reason reason);
 
--- a/src/core/workspace_counts.c
+++ b/src/core/workspace_counts.c
@@ -25,17 +25,25 @@
     free(counts);
 }
 
-/* Returns how many requests of a workspace were refused. */
-static uint64_t
-workspace_counts_refused(const workspace_counts_entry *entry)
+/* Returns how many of the requests that ended so were refused; `counts` has an
+ * item for each outcome. */
+uint64_t
+workspace_outcomes_refused(const uint64_t *counts)
 {
     uint64_t sum = 0;
     for (int i = WORKSPACE_BY_KEY; i < WORKSPACE_OUTCOMES; i++) {
-        sum += entry->counts[i];
+        sum += counts[i];
     }
     return sum;
 }
 
+/* Returns how many requests of a workspace were refused. */
+static uint64_t
+workspace_counts_refused(const workspace_counts_entry *entry)
+{
+    return workspace_outcomes_refused(entry->counts);
+}
+
 /* Counts the end of a request. */
 void
 workspace_counts_add(workspace_counts *counts, uint32_t workspace,
--- a/src/tools/node_metrics.c
+++ b/src/tools/node_metrics.c
@@ -118,24 +118,14 @@
     g_strfreev(lines);
 }
 
-static uint64_t
-node_metrics_refused(const node_metrics_workspace *entry)
-{
-    uint64_t sum = 0;
-    for (int i = WORKSPACE_BY_KEY; i < WORKSPACE_OUTCOMES; i++) {
-        sum += entry->counts[i];
-    }
-    return sum;
-}
-
 /* Order: the most refusals first, then by name. */
 static gint
 node_metrics_compare(gconstpointer x, gconstpointer y)
 {
     const node_metrics_workspace *a = x;
     const node_metrics_workspace *b = y;
-    uint64_t refused_a = node_metrics_refused(a);
-    uint64_t refused_b = node_metrics_refused(b);
+    uint64_t refused_a = workspace_outcomes_refused(a->counts);
+    uint64_t refused_b = workspace_outcomes_refused(b->counts);
     return refused_a == refused_b
                ? strcmp(a->name, b->name)
                : (refused_a < refused_b) - (refused_a > refused_b);
