http_syntax: responses with an invalid status line are malformed

Callers got a target's response of status 000 as the response to their request: "HTTP/1.1 0 <unknown>", with the target's fields and body (MIXED). So did those of status 1, 20, 99, 600 or 999, of another major version, with control bytes in the reason, and what followed a switch of protocols that no request had asked for.

Cause: http_conn leaves the grammar of a response to http_parser, which Debian builds in its lenient mode. It takes any number below 1000 for a status, and any character for the LF after a CR. For local_target everything but a 2xx is an error response, which is relayed if it may be that of the request.

http_syntax checks the bytes of each head before the parser gets them: three digits from 100 to 599, major version 1, text as the reason. A response that is not valid ends the connection as malformed, as other garbage does: the request may have run, an idempotent one is tried elsewhere, any other gets 502. The parser now stops after a message that is skipped, so that the head of the next one is checked too. 101 is malformed, as nothing asks for an upgrade. It is one place for all who read with http_conn: targets and their health, other nodes and claims, the store.

--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -107,7 +107,7 @@
 }
 
 /* Parser callback: the head is complete.  Returns 0, 1 if the message has no
- * body, or -1 if the connection was closed. */
+ * body, or -1 if it is malformed or the connection was closed. */
 static int
 http_conn_on_headers_complete(http_parser *parser)
 {
@@ -126,6 +126,10 @@
     }
     else {
         head->status = parser->status_code;
+        if (head->status == HTTP_STATUS_SWITCHING_PROTOCOLS) {
+            return -1; /* no request asks for another protocol */
+        }
+        http_syntax_begin_body(&c->syntax);
         head->body_until_eof = !no_body && !head->chunked &&
                                head->content_length == HTTP_HEAD_NO_LENGTH;
         if (head->status / 100 == 1) {
@@ -162,12 +166,15 @@
 }
 
 /* Parser callback: the end of a message.  Pauses the parser, so that the next
- * message is not parsed before the owner asks for it. */
+ * message is not parsed before the owner asks for it, or, after a skipped one,
+ * before its bytes are checked. */
 static int
 http_conn_on_message_complete(http_parser *parser)
 {
     http_conn *c = http_conn_from_parser(parser);
     c->in_message = false;
+    http_syntax_begin_response(&c->syntax);
+    http_parser_pause(parser, 1);
     if (c->skipping_message) {
         c->skipping_message = false;
         if (!c->head.keep_alive) {
@@ -176,7 +183,6 @@
         return 0;
     }
     c->message_complete = true;
-    http_parser_pause(parser, 1);
     return 0;
 }
 
@@ -195,6 +201,7 @@
 http_conn_parser_setup(http_conn *c, enum http_parser_type type)
 {
     http_parser_init(&c->parser, type);
+    http_syntax_begin_response(&c->syntax);
     c->parser.data = c;
     return 0;
 }
@@ -217,26 +224,55 @@
     c->handlers->on_message(c, c->payload);
 }
 
+/* Fail the connection after a parser error. */
+static void
+http_conn_fail_parsing(http_conn *c)
+{
+    bool large = c->head.too_many_fields ||
+                 (c->head_bytes_max != 0 && c->head_bytes > c->head_bytes_max);
+    http_conn_fail(c, large ? HTTP_CONN_TOO_LARGE : HTTP_CONN_MALFORMED);
+}
+
+/* Parse the next part of the received bytes: up to the end of a head, if it is
+ * that of a response, or up to the end of a message, which is then complete.
+ * Returns the number of bytes parsed, or 0 if the connection has failed. */
+static size_t
+http_conn_parse_part(http_conn *c, const char *bytes, size_t length)
+{
+    size_t part = length;
+    if (c->parser.type == HTTP_RESPONSE &&
+        http_syntax_check(&part, &c->syntax, bytes, length) < 0) {
+        http_conn_fail(c, HTTP_CONN_MALFORMED);
+        return 0;
+    }
+    size_t parsed = http_parser_execute(&c->parser, &http_conn_parser_settings,
+                                        bytes, part);
+    enum http_errno error = HTTP_PARSER_ERRNO(&c->parser);
+    if (c->fd >= 0 && error != HPE_OK && error != HPE_PAUSED) {
+        http_conn_fail_parsing(c);
+    }
+    return c->fd < 0 ? 0 : parsed;
+}
+
 /* Parse received bytes; returns HTTP_CONN_CLOSED if the connection has been
  * closed meanwhile, else HTTP_CONN_ACCEPT. */
 enum http_conn_head_result
 http_conn_parse(http_conn *c, const char *bytes, size_t length)
 {
     c->unused_bytes += length;
-    size_t parsed = http_parser_execute(&c->parser, &http_conn_parser_settings,
-                                        bytes, length);
-    if (c->fd < 0) {
-        return HTTP_CONN_CLOSED;
-    }
-    enum http_errno error = HTTP_PARSER_ERRNO(&c->parser);
-    if (error == HPE_PAUSED) {
-        http_conn_finish_message(c, bytes + parsed, length - parsed);
+    while (length > 0 && !c->message_complete) {
+        size_t parsed = http_conn_parse_part(c, bytes, length);
+        if (parsed == 0) {
+            return HTTP_CONN_CLOSED;
+        }
+        bytes += parsed;
+        length -= parsed;
+        if (!c->message_complete) {
+            http_parser_pause(&c->parser, 0); /* after a skipped message */
+        }
     }
-    else if (error != HPE_OK) {
-        bool large =
-            c->head.too_many_fields ||
-            (c->head_bytes_max != 0 && c->head_bytes > c->head_bytes_max);
-        http_conn_fail(c, large ? HTTP_CONN_TOO_LARGE : HTTP_CONN_MALFORMED);
+    if (c->message_complete) {
+        http_conn_finish_message(c, bytes, length);
     }
     else if (c->parser.type == HTTP_RESPONSE &&
              c->unused_bytes > HTTP_CONN_UNUSED_BYTES_MAX) {
--- a/src/http/http_conn_private.h
+++ b/src/http/http_conn_private.h
@@ -8,6 +8,7 @@
 #include <http_parser.h>
 
 #include "http_conn.h"
+#include "http_syntax.h"
 
 /* The part of a header field that was parsed last. */
 enum http_conn_field_part {
@@ -44,6 +45,7 @@
     size_t unused_bytes;         /* received since a part was last passed on */
     enum http_conn_field_part field_part;
     http_parser parser;
+    http_syntax syntax; /* client: of the bytes that go to the parser */
     http_head head;
     bytebuf out;     /* output not written yet */
     bytebuf pending; /* server: bytes received after the current request */
--- /dev/null
+++ b/tests/integration/mesh_broken_test.c
@@ -0,0 +1,137 @@
+/* Responses that are not valid HTTP/1.1, of a target or another node.  No
+ * caller may get one as the response to its request. */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "broken_response.h"
+#include "harness_private.h"
+#include "mesh.h"
+#include "proc.h"
+
+TestSuite(mesh_broken, .init = mesh_start, .fini = harness_stop,
+          .timeout = 120);
+
+#define SEAL "Lavenderfield-Response-Seal: seal\r\n"
+
+/* Outcome 0 is "done".  It names no attempt, as of an older node. */
+#define PEER_HOP "Lav-Hop: 0 0 1 1 5 0 40 0 1 0 0 0 0\r\n"
+
+/* What the targets and the peer send at present. */
+static const broken_response *sent;
+
+/* Reads a request and sends the response, with its id. */
+static void
+serve_response(int fd, const char *fields)
+{
+    harness_request request;
+    char id[64];
+    char own[256];
+    request.body = malloc(HARNESS_BODY_SIZE_MAX);
+    if (harness_read_request(&request, fd)) {
+        harness_find_header(id, sizeof(id), request.head,
+                            "Lavenderfield-Attempt-Id");
+        snprintf(own, sizeof(own), "Lavenderfield-Attempt-Id: %s\r\n%s", id,
+                 fields);
+        pthread_mutex_lock(&harness_lock);
+        const broken_response *response = sent;
+        pthread_mutex_unlock(&harness_lock);
+        broken_response_send(fd, response, own);
+    }
+    free(request.body);
+}
+
+static void
+serve_target(int fd, int index)
+{
+    (void)index;
+    serve_response(fd, SEAL);
+}
+
+static void
+serve_peer(int fd, int index)
+{
+    (void)index;
+    serve_response(fd, SEAL PEER_HOP);
+}
+
+/* Calls once for each response of a table; checks that the caller gets it if
+ * it is valid, and that the request counts as failed if it is not. */
+static void
+call_with_each(const char *path, const broken_response_table *table,
+               bool valid)
+{
+    for (size_t i = 0; i < table->count; i++) {
+        const char *name = table->cases[i].name;
+        harness_response response;
+        char id[32];
+        snprintf(id, sizeof(id), "broken-%zu", i);
+        pthread_mutex_lock(&harness_lock);
+        sent = &table->cases[i];
+        pthread_mutex_unlock(&harness_lock);
+        harness_call(&response, 0, "POST", path, id, "", 0);
+        cr_expect(response.complete, "%s: %s", name, response.head);
+        cr_expect_eq(response.status, valid ? 200 : 502, "%s: %s", name,
+                     response.head);
+        bool same =
+            response.length == strlen(BROKEN_RESPONSE_BODY) &&
+            memcmp(response.body, BROKEN_RESPONSE_BODY, response.length) == 0;
+        cr_expect_eq(same, valid, "%s: %zu bytes", name, response.length);
+        harness_free_response(&response);
+    }
+}
+
+/* Calls with responses of the target beside the callers' node. */
+static void
+call_target_with_each(const broken_response_table *table, bool valid)
+{
+    harness_set_target_refusing(0, true);
+    int listener = harness_listen(harness_nodes[0].ports[HARNESS_TARGET], 0,
+                                  serve_target);
+    call_with_each("/m/ok", table, valid);
+    shutdown(listener, SHUT_RDWR);
+}
+
+/* Calls with responses of another node, to the request and to the claim. */
+static void
+call_peer_with_each(const broken_response_table *table, bool valid)
+{
+    char spec[512];
+    int port = proc_reserve_port();
+    int listener = harness_listen(port, 0, serve_peer);
+    snprintf(spec, sizeof(spec),
+             "{\"node\":\"other\",\"service\":\"broken\",\"zone\":\"z0\","
+             "\"target\":\"i-other\",\"started_ms\":1000,\"incarnation\":5,"
+             "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
+             "\"slots\":40}",
+             port);
+    harness_store_put("lavnodes", "other", spec);
+    harness_publish_desired(
+        2, "[" ROUTE("/b/", "non_idempotent", "5000ms", "broken") "]");
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"version\":2")));
+    call_with_each("/b/ok", table, valid);
+    shutdown(listener, SHUT_RDWR);
+}
+
+Test(mesh_broken, valid_responses_of_a_target)
+{
+    call_target_with_each(&valid_responses, true);
+}
+
+Test(mesh_broken, valid_responses_of_a_node)
+{
+    call_peer_with_each(&valid_responses, true);
+}
+
+Test(mesh_broken, status_lines_of_a_target)
+{
+    call_target_with_each(&broken_status_lines, false);
+}
+
+Test(mesh_broken, status_lines_of_a_node)
+{
+    call_peer_with_each(&broken_status_lines, false);
+}
--- /dev/null
+++ b/tests/standin/broken_response.c
@@ -0,0 +1,120 @@
+#include "broken_response.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+#define PART(text)                                                            \
+    {                                                                         \
+        text, sizeof(text) - 1                                                \
+    }
+#define TABLE(list)                                                           \
+    {                                                                         \
+        list, sizeof(list) / sizeof((list)[0])                                \
+    }
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define LENGTH "Content-Length: 2\r\n\r\nok"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define CHUNKS CHUNKED "2\r\nok\r\n0\r\n\r\n"
+
+#define STATUS_LINE(name, start)                                              \
+    {                                                                         \
+        name, PART(start), PART(LENGTH)                                       \
+    }
+#define REST(name, rest)                                                      \
+    {                                                                         \
+        name, PART(OK), PART(rest)                                            \
+    }
+
+static const broken_response status_line_cases[] = {
+    STATUS_LINE("status 000", "HTTP/1.1 000 OK\r\n"),
+    STATUS_LINE("status 000 without a reason", "HTTP/1.1 000\r\n"),
+    STATUS_LINE("status 001", "HTTP/1.1 001 OK\r\n"),
+    STATUS_LINE("status 099", "HTTP/1.1 099 OK\r\n"),
+    STATUS_LINE("status 600", "HTTP/1.1 600 OK\r\n"),
+    STATUS_LINE("status 999", "HTTP/1.1 999 OK\r\n"),
+    STATUS_LINE("one digit", "HTTP/1.1 2 OK\r\n"),
+    STATUS_LINE("two digits", "HTTP/1.1 20 OK\r\n"),
+    STATUS_LINE("four digits", "HTTP/1.1 2000 OK\r\n"),
+    STATUS_LINE("four digits, first 0", "HTTP/1.1 0200 OK\r\n"),
+    STATUS_LINE("negative", "HTTP/1.1 -200 OK\r\n"),
+    STATUS_LINE("letter in the status", "HTTP/1.1 2x0 OK\r\n"),
+    STATUS_LINE("no status", "HTTP/1.1 \r\n"),
+    STATUS_LINE("version only", "HTTP/1.1\r\n"),
+    STATUS_LINE("no blank after the status", "HTTP/1.1 200OK\r\n"),
+    STATUS_LINE("two blanks", "HTTP/1.1  200 OK\r\n"),
+    STATUS_LINE("tab", "HTTP/1.1\t200 OK\r\n"),
+    STATUS_LINE("version 2.0", "HTTP/2.0 200 OK\r\n"),
+    STATUS_LINE("version 0.9", "HTTP/0.9 200 OK\r\n"),
+    STATUS_LINE("version 1.11", "HTTP/1.11 200 OK\r\n"),
+    STATUS_LINE("no minor version", "HTTP/1 200 OK\r\n"),
+    STATUS_LINE("lower case", "http/1.1 200 OK\r\n"),
+    STATUS_LINE("another protocol", "ICY 200 OK\r\n"),
+    STATUS_LINE("blank first", " HTTP/1.1 200 OK\r\n"),
+    STATUS_LINE("control byte in the reason", "HTTP/1.1 200 O\1K\r\n"),
+    STATUS_LINE("NUL in the reason", "HTTP/1.1 200 O\0K\r\n"),
+    STATUS_LINE("CR in the reason", "HTTP/1.1 200 O\rK\r\n"),
+    STATUS_LINE("CR alone ends the line", "HTTP/1.1 200 OK\r"),
+    STATUS_LINE("protocol switched unasked",
+                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                "Connection: Upgrade\r\n\r\n" OK),
+    STATUS_LINE("status 000 before a response", "HTTP/1.1 000 X\r\n\r\n" OK),
+    STATUS_LINE("status 000 after an interim response",
+                "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 X\r\n"),
+    STATUS_LINE("interim response without a version",
+                "100 Continue\r\n\r\n" OK),
+};
+const broken_response_table broken_status_lines = TABLE(status_line_cases);
+
+static const broken_response valid_cases[] = {
+    REST("length", LENGTH),
+    REST("chunks", CHUNKS),
+    REST("end of the connection", "\r\nok"),
+    STATUS_LINE("no reason", "HTTP/1.1 200 \r\n"),
+    STATUS_LINE("no blank after the status", "HTTP/1.1 200\r\n"),
+    STATUS_LINE("text in the reason", "HTTP/1.1 200 Tr\xe8s\tbien\r\n"),
+    STATUS_LINE("HTTP/1.0", "HTTP/1.0 200 OK\r\n"),
+    STATUS_LINE("LF alone ends the line", "HTTP/1.1 200 OK\n"),
+    STATUS_LINE("empty lines first", "\r\n\r\n" OK),
+    STATUS_LINE("interim responses",
+                "HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" OK),
+    {"LF alone ends each line", PART("HTTP/1.1 200 OK\n"),
+     PART("Content-Length: 2\n\nok")},
+    REST("each character of a name", "!#$%&'*+-.^_`|~09azAZ: v\r\n" LENGTH),
+    REST("text in a value", "X-Text: \ta \xe4\xff\t\"{}\" \r\n" LENGTH),
+    REST("empty value", "X-Empty:\r\n" LENGTH),
+    REST("blanks only", "X-Blank: \t \r\n" LENGTH),
+    REST("length in zeros", "Content-Length: 0002\r\n\r\nok"),
+    REST("blanks about the length", "Content-Length:  2 \r\n\r\nok"),
+    REST("coding in upper case",
+         "Transfer-Encoding: CHUNKED\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    REST("size in upper case and zeros",
+         CHUNKED "0000002\r\nok\r\n000\r\n\r\n"),
+    REST("two chunks", CHUNKED "1\r\no\r\n1\r\nk\r\n0\r\n\r\n"),
+    REST("chunk extensions",
+         CHUNKED "2;a=b;c=\"d e\"\r\nok\r\n0;last\r\n\r\n"),
+    REST("blank before an extension", CHUNKED "2 ;a\r\nok\r\n0\r\n\r\n"),
+    REST("blank after a size", CHUNKED "2 \r\nok\r\n0\r\n\r\n"),
+    REST("trailer fields",
+         CHUNKED "2\r\nok\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n"),
+};
+const broken_response_table valid_responses = TABLE(valid_cases);
+
+/* Send a part of a response; what the client no longer takes is dropped. */
+static void
+broken_response_send_part(int fd, const char *bytes, size_t length)
+{
+    (void)send(fd, bytes, length, MSG_NOSIGNAL);
+}
+
+/* Send a response, with the lines `fields` after its status line. */
+void
+broken_response_send(int fd, const broken_response *response,
+                     const char *fields)
+{
+    broken_response_send_part(fd, response->start.bytes,
+                              response->start.length);
+    broken_response_send_part(fd, fields, strlen(fields));
+    broken_response_send_part(fd, response->rest.bytes, response->rest.length);
+}
