http_syntax: field lines of responses are checked

Callers got responses of a target in whose head a field's name held a blank, with that line passed on ("X Odd: v") or with a body that was not the target's: "Content Length: 2" made the body last until the connection ended, "Transfer Encoding: chunked" delivered chunk sizes as part of it, and "Content-Length : 2" framed it, as the parser takes a name before a blank for known, and was passed on beside the node's own length. A value could begin with a control byte; a CR without LF ended a line or a head, and swallowed the byte after it. The same in interim responses, and in trailers of a body that then counted as complete.

Cause: as with status lines, http_parser is built in its lenient mode, in which a blank is part of a name and any character counts as the LF after a CR. A control byte in a name it rejects; those rows pass before and after.

http_syntax checks names, values and line ends of heads and trailers; the parser stops at the last chunk, so that the trailer is checked before it is parsed. Lines that continue the one before them (obs-fold) are rejected, as RFC 9112, 5.2, allows: they are names that begin with a blank otherwise.

--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -152,6 +152,19 @@
     return no_body ? 1 : 0;
 }
 
+/* Parser callback: the size of a chunk.  Pauses the parser at the last one, so
+ * that the trailer is checked before it is parsed. */
+static int
+http_conn_on_chunk_header(http_parser *parser)
+{
+    http_conn *c = http_conn_from_parser(parser);
+    if (parser->content_length == 0) {
+        http_syntax_begin_trailer(&c->syntax);
+        http_parser_pause(parser, 1);
+    }
+    return 0;
+}
+
 /* Parser callback: a part of the body. */
 static int
 http_conn_on_body(http_parser *parser, const char *at, size_t length)
@@ -193,6 +206,7 @@
     .on_header_value = http_conn_on_field_value,
     .on_headers_complete = http_conn_on_headers_complete,
     .on_body = http_conn_on_body,
+    .on_chunk_header = http_conn_on_chunk_header,
     .on_message_complete = http_conn_on_message_complete,
 };
 
@@ -233,8 +247,8 @@
     http_conn_fail(c, large ? HTTP_CONN_TOO_LARGE : HTTP_CONN_MALFORMED);
 }
 
-/* Parse the next part of the received bytes: up to the end of a head, if it is
- * that of a response, or up to the end of a message, which is then complete.
+/* Parse the next part of the received bytes: up to the end of a message, and of
+ * a response at most up to the end of its head, last chunk size or trailer.
  * Returns the number of bytes parsed, or 0 if the connection has failed. */
 static size_t
 http_conn_parse_part(http_conn *c, const char *bytes, size_t length)
@@ -268,7 +282,7 @@
         bytes += parsed;
         length -= parsed;
         if (!c->message_complete) {
-            http_parser_pause(&c->parser, 0); /* after a skipped message */
+            http_parser_pause(&c->parser, 0);
         }
     }
     if (c->message_complete) {
--- a/src/http/http_syntax.c
+++ b/src/http/http_syntax.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <string.h>
 
 #include "lav/err.h"
 
@@ -15,7 +16,7 @@
 /* Result of a byte. */
 enum http_syntax_step {
     HTTP_SYNTAX_NEXT,
-    HTTP_SYNTAX_END, /* the last byte of a head */
+    HTTP_SYNTAX_END, /* the last byte of a head or trailer */
     HTTP_SYNTAX_INVALID
 };
 
@@ -33,6 +34,13 @@
     s->state = HTTP_SYNTAX_BODY;
 }
 
+/* Expect the fields after the last chunk of a body. */
+void
+http_syntax_begin_trailer(http_syntax *s)
+{
+    s->state = HTTP_SYNTAX_FIELD_START;
+}
+
 /* Return whether a byte matches a character of the status line's pattern. */
 static bool
 http_syntax_matches(char pattern, char byte)
@@ -47,13 +55,21 @@
     }
 }
 
-/* Return whether a byte may be in a reason phrase. */
+/* Return whether a byte may be in a reason phrase or a field value. */
 static bool
 http_syntax_is_text(char byte)
 {
     return byte == '\t' || !g_ascii_iscntrl(byte);
 }
 
+/* Return whether a byte may be in a field name. */
+static bool
+http_syntax_is_token(char byte)
+{
+    return g_ascii_isalnum(byte) ||
+           (byte != '\0' && strchr("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
 /* Check a byte up to the end of the status code.  Empty lines before it are
  * skipped, as http_parser does. */
 static enum http_syntax_step
@@ -80,7 +96,21 @@
     return valid ? HTTP_SYNTAX_NEXT : HTTP_SYNTAX_INVALID;
 }
 
-/* Check a byte of a head. */
+/* Check a byte of a text that ends with its line. */
+static enum http_syntax_step
+http_syntax_step_text(http_syntax *s, enum http_syntax_state state, char byte)
+{
+    if (byte == '\r') {
+        return http_syntax_go(s, HTTP_SYNTAX_LINE_LF, true);
+    }
+    if (byte == '\n') {
+        return http_syntax_go(s, HTTP_SYNTAX_FIELD_START, true);
+    }
+    return http_syntax_go(s, state, http_syntax_is_text(byte));
+}
+
+/* Check a byte of a head or trailer.  A line that begins with a blank, which
+ * once continued the one before it, has no valid name. */
 static enum http_syntax_step
 http_syntax_step(http_syntax *s, char byte)
 {
@@ -88,35 +118,35 @@
     case HTTP_SYNTAX_STATUS_LINE:
         return http_syntax_step_status_line(s, byte);
     case HTTP_SYNTAX_AFTER_STATUS:
-    case HTTP_SYNTAX_REASON:
-        if (byte == '\r') {
-            return http_syntax_go(s, HTTP_SYNTAX_STATUS_LF, true);
-        }
-        if (byte == '\n') {
-            return http_syntax_go(s, HTTP_SYNTAX_LINE_START, true);
+        if (byte != ' ' && byte != '\r' && byte != '\n') {
+            return HTTP_SYNTAX_INVALID;
         }
-        return http_syntax_go(s, HTTP_SYNTAX_REASON,
-                              s->state == HTTP_SYNTAX_AFTER_STATUS
-                                  ? byte == ' '
-                                  : http_syntax_is_text(byte));
-    case HTTP_SYNTAX_STATUS_LF:
-        return http_syntax_go(s, HTTP_SYNTAX_LINE_START, byte == '\n');
-    case HTTP_SYNTAX_LINE_START:
+        return http_syntax_step_text(s, HTTP_SYNTAX_REASON, byte);
+    case HTTP_SYNTAX_REASON:
+    case HTTP_SYNTAX_FIELD_VALUE:
+        return http_syntax_step_text(s, s->state, byte);
+    case HTTP_SYNTAX_LINE_LF:
+        return http_syntax_go(s, HTTP_SYNTAX_FIELD_START, byte == '\n');
+    case HTTP_SYNTAX_FIELD_START:
         if (byte == '\n') {
             return HTTP_SYNTAX_END;
         }
-        return http_syntax_go(
-            s, byte == '\r' ? HTTP_SYNTAX_LINE_START : HTTP_SYNTAX_LINE, true);
-    case HTTP_SYNTAX_LINE:
-        return http_syntax_go(
-            s, byte == '\n' ? HTTP_SYNTAX_LINE_START : HTTP_SYNTAX_LINE, true);
+        return byte == '\r' ? http_syntax_go(s, HTTP_SYNTAX_FIELDS_LF, true)
+                            : http_syntax_go(s, HTTP_SYNTAX_FIELD_NAME,
+                                             http_syntax_is_token(byte));
+    case HTTP_SYNTAX_FIELD_NAME:
+        return byte == ':' ? http_syntax_go(s, HTTP_SYNTAX_FIELD_VALUE, true)
+                           : http_syntax_go(s, HTTP_SYNTAX_FIELD_NAME,
+                                            http_syntax_is_token(byte));
+    case HTTP_SYNTAX_FIELDS_LF:
+        return byte == '\n' ? HTTP_SYNTAX_END : HTTP_SYNTAX_INVALID;
     case HTTP_SYNTAX_BODY:
         break;
     }
     return HTTP_SYNTAX_INVALID;
 }
 
-/* Check the next bytes up to the end of a head, and set `*out` to their
+/* Check the next bytes up to the end of a head or trailer, and set `*out` to their
  * number, which is at least 1.  They go to http_parser before the next call;
  * its callbacks then tell what follows the head.  ERR_INVALID: they are not
  * part of a valid response. */
--- a/src/http/http_syntax.h
+++ b/src/http/http_syntax.h
@@ -1,9 +1,9 @@
 /*
  * http_syntax: checks the bytes of the responses on a connection against the
  * grammar of HTTP/1.1 (RFC 9112) before http_parser gets them, which Debian
- * builds in its lenient mode.  It finds where heads end, but does not
- * interpret their fields: the owner tells where a body begins and where the
- * next response does.  Pure; all state is in the structure.
+ * builds in its lenient mode.  It finds where heads and trailers end, but does
+ * not interpret their fields: the owner tells where a body, a trailer and the
+ * next response begin.  Pure; all state is in the structure.
  */
 #ifndef LAV_HTTP_SYNTAX_H
 #define LAV_HTTP_SYNTAX_H
@@ -15,9 +15,11 @@
     HTTP_SYNTAX_STATUS_LINE,  /* up to the status code */
     HTTP_SYNTAX_AFTER_STATUS, /* the byte after the status code */
     HTTP_SYNTAX_REASON,
-    HTTP_SYNTAX_STATUS_LF, /* the LF that must follow a CR */
-    HTTP_SYNTAX_LINE_START,
-    HTTP_SYNTAX_LINE,
+    HTTP_SYNTAX_LINE_LF, /* the LF that must follow the CR of a line */
+    HTTP_SYNTAX_FIELD_START,
+    HTTP_SYNTAX_FIELD_NAME,
+    HTTP_SYNTAX_FIELD_VALUE,
+    HTTP_SYNTAX_FIELDS_LF, /* the LF of the empty line after the fields */
     HTTP_SYNTAX_BODY
 };
 
@@ -28,6 +30,7 @@
 
 void http_syntax_begin_response(http_syntax *s);
 void http_syntax_begin_body(http_syntax *s);
+void http_syntax_begin_trailer(http_syntax *s);
 int http_syntax_check(size_t *out, http_syntax *s, const char *bytes,
                       size_t length);
 
--- a/tests/integration/mesh_broken_test.c
+++ b/tests/integration/mesh_broken_test.c
@@ -135,3 +135,13 @@
 {
     call_peer_with_each(&broken_status_lines, false);
 }
+
+Test(mesh_broken, fields_of_a_target)
+{
+    call_target_with_each(&broken_fields, false);
+}
+
+Test(mesh_broken, fields_of_a_node)
+{
+    call_peer_with_each(&broken_fields, false);
+}
--- a/tests/unit/http_async_test.c
+++ b/tests/unit/http_async_test.c
@@ -110,6 +110,7 @@
 static const table_case table_cases[] = {
     {&valid_responses, true},
     {&broken_status_lines, false},
+    {&broken_fields, false},
 };
 
 Test(http_async, only_valid_responses_are_complete)
