http_head: responses with another transfer coding than chunked are malformed

Callers got bodies that were not the target's: of a response with "Transfer-Encoding: gzip" the coded bytes, of "gzip, chunked" what was inside the chunks, of "chunked, gzip" the chunk sizes too, all as the content with the target's status and seal.

Cause: the field concerns one connection and is not relayed. http_conn only asked the parser whether chunked comes last, and read until the end of the connection if not. Nodes ask for no coding (they send no TE).

A response may have one coding, chunked, once, and none in HTTP/1.0 (RFC 9112, 6.1); any other is malformed. Content-Length that is empty, signed, a list or repeated, or beside a coding, http_parser rejects already; the rows stay.

Before: flow http_async/only_valid_responses_are_complete failed for 9 of 21 cases, mesh_broken/framing_by_a_target and _by_a_node for 9 each. After: none fails; the valid responses, now 25, are taken.

--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -126,8 +126,9 @@
     }
     else {
         head->status = parser->status_code;
-        if (head->status == HTTP_STATUS_SWITCHING_PROTOCOLS) {
-            return -1; /* no request asks for another protocol */
+        if (head->status == HTTP_STATUS_SWITCHING_PROTOCOLS ||
+            !http_head_is_coding_known(head)) {
+            return -1; /* no request asks for another protocol or coding */
         }
         http_syntax_begin_body(&c->syntax);
         head->body_until_eof = !no_body && !head->chunked &&
--- a/src/http/http_head.c
+++ b/src/http/http_head.c
@@ -77,6 +77,21 @@
     return count;
 }
 
+/* Return whether the body has no transfer coding but chunked, once: bodies are
+ * relayed without the Transfer-Encoding field, so another coding would be
+ * taken for the content.  HTTP/1.0 has none. */
+bool
+http_head_is_coding_known(const http_head *head)
+{
+    http_str coding = http_head_get_field(head, "Transfer-Encoding");
+    if (coding.bytes == NULL) {
+        return true;
+    }
+    return head->chunked && !head->is_http_1_0 &&
+           http_head_count_field(head, "Transfer-Encoding") == 1 &&
+           memchr(coding.bytes, ',', coding.length) == NULL;
+}
+
 /* Copy `text` to `out`, an array of `size` bytes, with a NUL.  Returns false
  * and makes `out` empty if the text is NULL or does not fit. */
 bool
--- a/src/http/http_head.h
+++ b/src/http/http_head.h
@@ -53,6 +53,7 @@
 http_str http_head_get_target(const http_head *head);
 http_str http_head_get_field(const http_head *head, const char *name);
 int http_head_count_field(const http_head *head, const char *name);
+bool http_head_is_coding_known(const http_head *head);
 bool http_str_copy(char *out, size_t size, http_str text);
 bool http_str_equals_nocase(http_str text, const char *other);
 void http_head_write_fields(bytebuf *out, const http_head *head,
--- a/tests/integration/mesh_broken_test.c
+++ b/tests/integration/mesh_broken_test.c
@@ -145,3 +145,13 @@
 {
     call_peer_with_each(&broken_fields, false);
 }
+
+Test(mesh_broken, framing_by_a_target)
+{
+    call_target_with_each(&broken_framing, false);
+}
+
+Test(mesh_broken, framing_by_a_node)
+{
+    call_peer_with_each(&broken_framing, false);
+}
--- a/tests/standin/broken_response.c
+++ b/tests/standin/broken_response.c
@@ -128,6 +128,43 @@
 };
 const broken_response_table broken_fields = TABLE(field_cases);
 
+static const broken_response framing_cases[] = {
+    REST("coding that was not asked for", "Transfer-Encoding: gzip\r\n\r\nok"),
+    REST("another coding before chunks",
+         "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    REST("another coding after chunks",
+         "Transfer-Encoding: chunked, gzip\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    REST("another coding in a field of its own",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nok\r\n0\r\n\r\n"),
+    REST("chunked twice",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nok\r\n0\r\n\r\n"),
+    REST("coding of a similar name",
+         "Transfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    REST("coding with a parameter",
+         "Transfer-Encoding: chunked;a=b\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    REST("coding without a name", "Transfer-Encoding:\r\n\r\nok"),
+    {"chunks of HTTP/1.0", PART("HTTP/1.0 200 OK\r\n"), PART(CHUNKS)},
+    REST("length and chunks", "Content-Length: 2\r\n" CHUNKS),
+    REST("chunks and length",
+         "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n"
+         "2\r\nok\r\n0\r\n\r\n"),
+    REST("length and another coding",
+         "Content-Length: 2\r\nTransfer-Encoding: identity\r\n\r\nok"),
+    REST("no length in the field", "Content-Length:\r\n\r\nok"),
+    REST("length with a sign", "Content-Length: +2\r\n\r\nok"),
+    REST("negative length", "Content-Length: -2\r\n\r\nok"),
+    REST("length in hexadecimal", "Content-Length: 0x2\r\n\r\nok"),
+    REST("length with a fraction", "Content-Length: 2.0\r\n\r\nok"),
+    REST("list of lengths", "Content-Length: 2, 2\r\n\r\nok"),
+    REST("two numbers", "Content-Length: 2 2\r\n\r\nok"),
+    REST("two lengths", "Content-Length: 2\r\nContent-Length: 1\r\n\r\nok"),
+    REST("length over 64 bits",
+         "Content-Length: 18446744073709551618\r\n\r\nok"),
+};
+const broken_response_table broken_framing = TABLE(framing_cases);
+
 static const broken_response valid_cases[] = {
     REST("length", LENGTH),
     REST("chunks", CHUNKS),
@@ -151,6 +188,8 @@
     REST("blanks about the length", "Content-Length:  2 \r\n\r\nok"),
     REST("coding in upper case",
          "Transfer-Encoding: CHUNKED\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+    REST("blanks about the coding",
+         "Transfer-Encoding:  chunked \r\n\r\n2\r\nok\r\n0\r\n\r\n"),
     REST("size in upper case and zeros",
          CHUNKED "0000002\r\nok\r\n000\r\n\r\n"),
     REST("two chunks", CHUNKED "1\r\no\r\n1\r\nk\r\n0\r\n\r\n"),
--- a/tests/unit/http_async_test.c
+++ b/tests/unit/http_async_test.c
@@ -111,6 +111,7 @@
     {&valid_responses, true},
     {&broken_status_lines, false},
     {&broken_fields, false},
+    {&broken_framing, false},
 };
 
 Test(http_async, only_valid_responses_are_complete)
