http_syntax: chunk lines of responses are checked

Callers got bodies as complete whose chunks had lost their framing: whatever two bytes followed a chunk were dropped as its line end ("2 ok XX 0"), a CR after a size swallowed any byte, and sizes were followed by text or control bytes. With a wrong size that is a body which the target did not send.

Cause: the lenient mode of http_parser again, which checks neither.

http_syntax checks the line of each size and the line end after each chunk, of whose length the parser tells it. That replaces the stop of the parser at the last chunk. A body of which a part was relayed already is cut off with a reset, as before.

--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -130,7 +130,12 @@
             !http_head_is_coding_known(head)) {
             return -1; /* no request asks for another protocol or coding */
         }
-        http_syntax_begin_body(&c->syntax);
+        if (head->chunked) {
+            http_syntax_begin_chunks(&c->syntax);
+        }
+        else {
+            http_syntax_begin_body(&c->syntax);
+        }
         head->body_until_eof = !no_body && !head->chunked &&
                                head->content_length == HTTP_HEAD_NO_LENGTH;
         if (head->status / 100 == 1) {
@@ -153,16 +158,12 @@
     return no_body ? 1 : 0;
 }
 
-/* Parser callback: the size of a chunk.  Pauses the parser at the last one, so
- * that the trailer is checked before it is parsed. */
+/* Parser callback: the size of a chunk. */
 static int
 http_conn_on_chunk_header(http_parser *parser)
 {
     http_conn *c = http_conn_from_parser(parser);
-    if (parser->content_length == 0) {
-        http_syntax_begin_trailer(&c->syntax);
-        http_parser_pause(parser, 1);
-    }
+    http_syntax_begin_chunk(&c->syntax, parser->content_length);
     return 0;
 }
 
@@ -249,7 +250,7 @@
 }
 
 /* Parse the next part of the received bytes: up to the end of a message, and of
- * a response at most up to the end of its head, last chunk size or trailer.
+ * a response at most up to the end of what http_syntax_check() checks at once.
  * Returns the number of bytes parsed, or 0 if the connection has failed. */
 static size_t
 http_conn_parse_part(http_conn *c, const char *bytes, size_t length)
@@ -283,7 +284,7 @@
         bytes += parsed;
         length -= parsed;
         if (!c->message_complete) {
-            http_parser_pause(&c->parser, 0);
+            http_parser_pause(&c->parser, 0); /* after a skipped message */
         }
     }
     if (c->message_complete) {
--- a/src/http/http_syntax.c
+++ b/src/http/http_syntax.c
@@ -16,7 +16,7 @@
 /* Result of a byte. */
 enum http_syntax_step {
     HTTP_SYNTAX_NEXT,
-    HTTP_SYNTAX_END, /* the last byte of a head or trailer */
+    HTTP_SYNTAX_END, /* the last byte of a part that the parser interprets */
     HTTP_SYNTAX_INVALID
 };
 
@@ -27,18 +27,27 @@
     *s = (http_syntax){.state = HTTP_SYNTAX_STATUS_LINE};
 }
 
-/* Expect a body, which ends where the parser finds its end. */
+/* Expect a body that is not chunked; the parser finds its end. */
 void
 http_syntax_begin_body(http_syntax *s)
 {
     s->state = HTTP_SYNTAX_BODY;
 }
 
-/* Expect the fields after the last chunk of a body. */
+/* Expect the size of the first chunk of a body. */
 void
-http_syntax_begin_trailer(http_syntax *s)
+http_syntax_begin_chunks(http_syntax *s)
 {
-    s->state = HTTP_SYNTAX_FIELD_START;
+    s->state = HTTP_SYNTAX_CHUNK_SIZE;
+}
+
+/* Expect the data of a chunk of `length` bytes; after that of 0 bytes, which
+ * is the last one, the trailer. */
+void
+http_syntax_begin_chunk(http_syntax *s, uint64_t length)
+{
+    s->state = length > 0 ? HTTP_SYNTAX_CHUNK_DATA : HTTP_SYNTAX_FIELD_START;
+    s->left = length;
 }
 
 /* Return whether a byte matches a character of the status line's pattern. */
@@ -109,7 +118,30 @@
     return http_syntax_go(s, state, http_syntax_is_text(byte));
 }
 
-/* Check a byte of a head or trailer.  A line that begins with a blank, which
+/* Check a byte of the line of a chunk's size.  The parser checks that there is
+ * a digit, and the range. */
+static enum http_syntax_step
+http_syntax_step_chunk_size(http_syntax *s, char byte)
+{
+    if (s->state == HTTP_SYNTAX_CHUNK_SIZE_LF) {
+        return byte == '\n' ? HTTP_SYNTAX_END : HTTP_SYNTAX_INVALID;
+    }
+    if (byte == '\r') {
+        return http_syntax_go(s, HTTP_SYNTAX_CHUNK_SIZE_LF, true);
+    }
+    if (s->state == HTTP_SYNTAX_CHUNK_EXTENSION || byte == ';') {
+        return http_syntax_go(s, HTTP_SYNTAX_CHUNK_EXTENSION,
+                              http_syntax_is_text(byte));
+    }
+    if (byte == ' ' || byte == '\t') {
+        return http_syntax_go(s, HTTP_SYNTAX_CHUNK_BLANK, true);
+    }
+    return s->state == HTTP_SYNTAX_CHUNK_SIZE && g_ascii_isxdigit(byte)
+               ? HTTP_SYNTAX_NEXT
+               : HTTP_SYNTAX_INVALID;
+}
+
+/* Check a byte outside bodies and the data of chunks.  A line that begins with a blank, which
  * once continued the one before it, has no valid name. */
 static enum http_syntax_step
 http_syntax_step(http_syntax *s, char byte)
@@ -140,16 +172,26 @@
                                             http_syntax_is_token(byte));
     case HTTP_SYNTAX_FIELDS_LF:
         return byte == '\n' ? HTTP_SYNTAX_END : HTTP_SYNTAX_INVALID;
+    case HTTP_SYNTAX_CHUNK_SIZE:
+    case HTTP_SYNTAX_CHUNK_BLANK:
+    case HTTP_SYNTAX_CHUNK_EXTENSION:
+    case HTTP_SYNTAX_CHUNK_SIZE_LF:
+        return http_syntax_step_chunk_size(s, byte);
+    case HTTP_SYNTAX_CHUNK_CR:
+        return http_syntax_go(s, HTTP_SYNTAX_CHUNK_LF, byte == '\r');
+    case HTTP_SYNTAX_CHUNK_LF:
+        return http_syntax_go(s, HTTP_SYNTAX_CHUNK_SIZE, byte == '\n');
     case HTTP_SYNTAX_BODY:
+    case HTTP_SYNTAX_CHUNK_DATA:
         break;
     }
     return HTTP_SYNTAX_INVALID;
 }
 
-/* Check the next bytes up to the end of a head or trailer, and set `*out` to their
- * number, which is at least 1.  They go to http_parser before the next call;
- * its callbacks then tell what follows the head.  ERR_INVALID: they are not
- * part of a valid response. */
+/* Check the next bytes up to the end of a head, chunk size, chunk's data or
+ * trailer, and set `*out` to their number, which is at least 1.  They go to
+ * http_parser before the next call; its callbacks then tell what follows.
+ * ERR_INVALID: they are not part of a valid response. */
 int
 http_syntax_check(size_t *out, http_syntax *s, const char *bytes,
                   size_t length)
@@ -158,6 +200,14 @@
     if (s->state == HTTP_SYNTAX_BODY) {
         return 0;
     }
+    if (s->state == HTTP_SYNTAX_CHUNK_DATA) {
+        *out = (size_t)MIN((uint64_t)length, s->left);
+        s->left -= *out;
+        if (s->left == 0) {
+            s->state = HTTP_SYNTAX_CHUNK_CR;
+        }
+        return 0;
+    }
     for (size_t i = 0; i < length; i++) {
         switch (http_syntax_step(s, bytes[i])) {
         case HTTP_SYNTAX_NEXT:
--- a/tests/integration/mesh_broken_test.c
+++ b/tests/integration/mesh_broken_test.c
@@ -155,3 +155,13 @@
 {
     call_peer_with_each(&broken_framing, false);
 }
+
+Test(mesh_broken, chunks_of_a_target)
+{
+    call_target_with_each(&broken_chunks, false);
+}
+
+Test(mesh_broken, chunks_of_a_node)
+{
+    call_peer_with_each(&broken_chunks, false);
+}
--- a/tests/standin/broken_response.c
+++ b/tests/standin/broken_response.c
@@ -165,6 +165,38 @@
 };
 const broken_response_table broken_framing = TABLE(framing_cases);
 
+static const broken_response chunk_cases[] = {
+    REST("no line end after a chunk", CHUNKED "2\r\nokXX0\r\n\r\n"),
+    REST("no CR after a chunk", CHUNKED "2\r\nok\n\n0\r\n\r\n"),
+    REST("no LF after a chunk", CHUNKED "2\r\nok\rX0\r\n\r\n"),
+    REST("chunk longer than its size", CHUNKED "2\r\nok0\r\n\r\n"),
+    REST("chunk shorter than its size", CHUNKED "3\r\nok\r\n0\r\n\r\n"),
+    REST("no LF after a size", CHUNKED "2\rXok\r\n0\r\n\r\n"),
+    REST("no LF after the last size", CHUNKED "2\r\nok\r\n0\rX\r\n"),
+    REST("LF alone after a size", CHUNKED "2\nok\r\n0\r\n\r\n"),
+    REST("LF alone after the last size", CHUNKED "2\r\nok\r\n0\n\r\n"),
+    REST("no size", CHUNKED "\r\nok\r\n0\r\n\r\n"),
+    REST("extension without a size", CHUNKED ";a\r\nok\r\n0\r\n\r\n"),
+    REST("blank before a size", CHUNKED " 2\r\nok\r\n0\r\n\r\n"),
+    REST("size with a sign", CHUNKED "+2\r\nok\r\n0\r\n\r\n"),
+    REST("negative size", CHUNKED "2\r\nok\r\n-0\r\n\r\n"),
+    REST("size with a prefix", CHUNKED "0x2\r\nok\r\n0\r\n\r\n"),
+    REST("size with a letter", CHUNKED "2g\r\nok\r\n0\r\n\r\n"),
+    REST("two sizes", CHUNKED "2 2\r\nok\r\n0\r\n\r\n"),
+    REST("text after a size", CHUNKED "2 x\r\nok\r\n0\r\n\r\n"),
+    REST("size over 64 bits", CHUNKED "10000000000000002\r\nok\r\n0\r\n\r\n"),
+    REST("control byte after a size", CHUNKED "2\1\r\nok\r\n0\r\n\r\n"),
+    REST("control byte in an extension", CHUNKED "2;\1\r\nok\r\n0\r\n\r\n"),
+    REST("NUL in an extension", CHUNKED "2;\0\r\nok\r\n0\r\n\r\n"),
+    REST("LF in an extension", CHUNKED "2;a\nb\r\nok\r\n0\r\n\r\n"),
+    REST("CR in an extension", CHUNKED "2;a\rbok\r\n0\r\n\r\n"),
+    REST("control byte in the last extension",
+         CHUNKED "2\r\nok\r\n0;\1\r\n\r\n"),
+    REST("no last chunk", CHUNKED "2\r\nok\r\n"),
+    REST("no empty line after the last chunk", CHUNKED "2\r\nok\r\n0\r\n"),
+};
+const broken_response_table broken_chunks = TABLE(chunk_cases);
+
 static const broken_response valid_cases[] = {
     REST("length", LENGTH),
     REST("chunks", CHUNKS),
--- a/tests/standin/broken_response.h
+++ b/tests/standin/broken_response.h
@@ -30,6 +30,7 @@
 extern const broken_response_table broken_status_lines;
 extern const broken_response_table broken_fields;
 extern const broken_response_table broken_framing;
+extern const broken_response_table broken_chunks;
 extern const broken_response_table valid_responses;
 
 void broken_response_send(int fd, const broken_response *response,
--- a/tests/unit/http_async_test.c
+++ b/tests/unit/http_async_test.c
@@ -108,10 +108,9 @@
 } table_case;
 
 static const table_case table_cases[] = {
-    {&valid_responses, true},
-    {&broken_status_lines, false},
-    {&broken_fields, false},
-    {&broken_framing, false},
+    {&valid_responses, true}, {&broken_status_lines, false},
+    {&broken_fields, false},  {&broken_framing, false},
+    {&broken_chunks, false},
 };
 
 Test(http_async, only_valid_responses_are_complete)
