http_sync: responses are read by http_conn, not by neon

Callers of lav-node, and its reads of the platform, took what no client may take for a response: status 000, a name with a blank or a control byte, a length after "Content Length" or "Content-Length :", chunk sizes that are no number, text after them. neon repairs such lines or drops them without a word (a name with a blank is no field for it), so the body is framed in another way than the target meant, and a caller of neon can't see that: it has no access to the lines as they were read.

So http_sync waits for http_async on a loop of its own, on the same connections as the platform's node, with the same checks; one client instead of two. What callers of http_sync rely on stays: a request that may not be resent goes out on a new connection with the kept one closed; one that may is sent once more if the server closed a kept connection without a response, and says so; never sent, perhaps sent and too large are told apart; 1 s to connect. What differs: the timeout counts up to the complete response, not for each read; host names are looked up as IPv4.

--- a/include/lav/http_sync.h
+++ b/include/lav/http_sync.h
@@ -1,6 +1,6 @@
 /*
- * http_sync: blocking HTTP client on top of neon, one request at a time, with
- * a limit on the size of the response body.  The result distinguishes a
+ * http_sync: blocking HTTP client, one request at a time, with a limit on the
+ * size of the response body.  The result distinguishes a
  * request that was never sent, one that may have been sent but has no
  * complete response, and one that was answered.
  */
@@ -35,15 +35,15 @@
     const char *body;
     size_t length;                                   /* bytes of the body */
     http_sync_header headers[HTTP_SYNC_HEADERS_MAX]; /* up to a NULL name */
-    bool may_resend; /* idempotent: may go over a persistent connection, and
-                      * neon may send it a second time */
-    int timeout_s;   /* of each read, in seconds */
+    bool may_resend; /* idempotent: may go over a kept connection, and once
+                      * more over a new one if the server closes that */
+    int timeout_s;   /* up to the complete response, in seconds */
     size_t response_body_bytes_max;
 } http_sync_request;
 
 typedef struct http_sync_response {
     int status;
-    bool resent;   /* neon reconnected and may have sent it twice */
+    bool resent;   /* it may have been received twice */
     size_t length; /* bytes of the body */
     char *body;    /* owned; NUL after the last byte */
     char content_type[HTTP_SYNC_CONTENT_TYPE_SIZE];
--- a/install.sh
+++ b/install.sh
@@ -2,7 +2,7 @@
 # Installs what the project builds and tests with, from Debian's packages.
 set -euo pipefail
 packages=(build-essential cmake ninja-build pkg-config clang-format clang-tidy
-  libnng-dev libmicrohttpd-dev libneon27-dev liburcu-dev libglib2.0-dev
+  libnng-dev libmicrohttpd-dev liburcu-dev libglib2.0-dev
   libcriterion-dev libcbor-dev libjansson-dev libyajl-dev libxxhash-dev libsodium-dev
   libtomlplusplus-dev librapidcheck-dev libev-dev libgsl-dev libhttp-parser-dev)
 missing=()
--- a/src/http/http_async.c
+++ b/src/http/http_async.c
@@ -18,6 +18,8 @@
     http_conn *connection;
     http_async_response response;
     const char *fields[HTTP_ASYNC_RESPONSE_FIELDS_MAX];
+    bool kept; /* the connection had been kept */
+    size_t body_bytes_max;
     GByteArray *body;
     http_async_done_cb done;
     void *payload;
@@ -60,15 +62,15 @@
     return HTTP_CONN_ACCEPT;
 }
 
-/* Collect the body; one over the limit counts as no response. */
+/* Collect the body; one over the limit ends the call. */
 static void
 http_async_on_body(http_conn *c, const char *bytes, size_t length,
                    void *payload)
 {
     http_async_call *call = payload;
-    if (call->body->len + length > HTTP_ASYNC_BODY_BYTES_MAX) {
+    if (call->body->len + length > call->body_bytes_max) {
         http_conn_close(c);
-        http_async_finish(call, HTTP_ASYNC_NO_RESPONSE);
+        http_async_finish(call, HTTP_ASYNC_TOO_LARGE);
         return;
     }
     g_byte_array_append(call->body, (const guint8 *)bytes, (guint)length);
@@ -96,9 +98,13 @@
 http_async_on_close(http_conn *c, enum http_conn_close_reason reason,
                     void *payload)
 {
-    (void)reason;
+    http_async_call *call = payload;
     bool sent = http_conn_is_connected(c);
-    http_async_finish(payload,
+    call->response.dropped =
+        call->kept && call->response.status == 0 &&
+        !http_conn_is_mid_message(c) &&
+        (reason == HTTP_CONN_EOF || reason == HTTP_CONN_RESET);
+    http_async_finish(call,
                       sent ? HTTP_ASYNC_NO_RESPONSE : HTTP_ASYNC_NOT_SENT);
 }
 
@@ -118,10 +124,13 @@
     bytebuf_append_text(out, opts->path);
     bytebuf_appendf(out, " HTTP/1.1\r\nHost: %s\r\n", host);
     if (opts->body != NULL) {
-        bytebuf_appendf(out,
-                        "Content-Type: application/json\r\n"
-                        "Content-Length: %zu\r\n",
-                        opts->length);
+        bytebuf_appendf(out, "Content-Length: %zu\r\n", opts->length);
+    }
+    if (opts->header_lines != NULL) {
+        bytebuf_append_text(out, opts->header_lines);
+    }
+    else if (opts->body != NULL) {
+        bytebuf_append_text(out, "Content-Type: application/json\r\n");
     }
     bytebuf_append_text(out, "\r\n");
     if (opts->body != NULL) {
@@ -142,13 +151,23 @@
     if (call == NULL) {
         return ERR_NO_MEMORY;
     }
-    *call = (http_async_call){
-        .l = l, .pool = pool, .done = done, .payload = payload};
+    *call = (http_async_call){.l = l,
+                              .pool = pool,
+                              .done = done,
+                              .payload = payload,
+                              .body_bytes_max = HTTP_ASYNC_BODY_BYTES_MAX};
+    if (opts->response_body_bytes_max != 0) {
+        call->body_bytes_max = opts->response_body_bytes_max;
+    }
     memcpy(call->fields, opts->fields, sizeof(call->fields));
     call->body = g_byte_array_new();
     http_conn *c = conn_pool_take(pool, to, HTTP_ASYNC_REUSE_IDLE_MAX_US);
+    call->kept = c != NULL;
     if (c == NULL) {
-        int result = http_conn_connect(&c, l, to, opts->timeout_us,
+        int64_t connect_timeout_us = opts->connect_timeout_us == 0
+                                         ? opts->timeout_us
+                                         : opts->connect_timeout_us;
+        int result = http_conn_connect(&c, l, to, connect_timeout_us,
                                        &http_async_handlers, call);
         if (result < 0) {
             http_async_free(call);
--- a/src/net/http_sync.c
+++ b/src/net/http_sync.c
@@ -1,195 +1,252 @@
 #include "lav/http_sync.h"
 
-#include <ne_request.h>
-#include <ne_session.h>
-#include <ne_uri.h>
+#include <glib.h>
+#include <netdb.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define HTTP_SYNC_BLOCK_SIZE 8192 /* bytes read at a time */
-#define HTTP_SYNC_CONNECT_TIMEOUT_S 1
+#include "bytebuf.h"
+#include "conn_pool.h"
+#include "evloop.h"
+#include "http_async.h"
+#include "lav/clock.h"
+
+#define HTTP_SYNC_PORT_SIZE 6 /* bytes of a port number, with the NUL */
+#define HTTP_SYNC_CONNECT_TIMEOUT_US 1000000 /* 1 s */
 #define HTTP_SYNC_STATUS_OK 200
 
+/* Response fields that callers get, by their index in http_async_options. */
+enum http_sync_field {
+    HTTP_SYNC_CONTENT_TYPE,
+    HTTP_SYNC_ETAG,
+    HTTP_SYNC_OUTCOME,
+    HTTP_SYNC_REASON,
+    HTTP_SYNC_REQUEST,
+    HTTP_SYNC_FIELD_COUNT
+};
+
+static const char *const http_sync_fields[HTTP_SYNC_FIELD_COUNT] = {
+    "Content-Type", "ETag", "Lav-Outcome", "Lav-Reason", "Lav-Request-Id"};
+
 struct http_sync_client {
-    ne_session *session;
-    bool connected; /* a persistent connection may be open */
-    int connects;   /* connections opened by this request */
+    evloop *l;
+    conn_pool *pool;
+    char *host;
+    char port[HTTP_SYNC_PORT_SIZE];
 };
 
-/* Count the connections that neon opens; an ne_notify_status. */
-static void
-http_sync_notify(void *payload, ne_session_status status,
-                 const ne_session_status_info *info)
-{
-    (void)info;
-    http_sync_client *client = payload;
-    if (status == ne_status_connected) {
-        client->connects++;
-    }
-}
+/* A request that is being waited for. */
+typedef struct http_sync_exchange {
+    evloop *l;
+    http_sync_response *out;
+    bool ended;
+    bool dropped; /* the server closed a kept connection, see http_async */
+    enum http_async_result result;
+} http_sync_exchange;
 
 /* Create a client for the server at "http://address:port".  ERR_INVALID: not
- * such a URL, or no memory. */
+ * such a URL.  ERR_NO_MEMORY, ERR_IO: it could not be created. */
 int
 http_sync_new(http_sync_client **out, const char *url, err *e)
 {
-    ne_uri uri = {0};
+    int result = 0;
+    int port = 0;
+    char *scheme = NULL;
     http_sync_client *client = calloc(1, sizeof(*client));
-    if (client == NULL || ne_uri_parse(url, &uri) != 0 || uri.host == NULL ||
-        uri.port == 0 || uri.scheme == NULL ||
-        strcmp(uri.scheme, "http") != 0) {
-        ne_uri_free(&uri);
-        free(client);
-        return ERR_SET(e, ERR_INVALID, "invalid server URL: %s", url);
+    if (client == NULL) {
+        return ERR_SET(e, ERR_NO_MEMORY, "HTTP client");
+    }
+    if (!g_uri_split(url, G_URI_FLAGS_NONE, &scheme, NULL, &client->host,
+                     &port, NULL, NULL, NULL, NULL) ||
+        scheme == NULL || strcmp(scheme, "http") != 0 ||
+        client->host == NULL || port <= 0 || port > UINT16_MAX) {
+        result = ERR_SET(e, ERR_INVALID, "invalid server URL: %s", url);
+        goto done;
+    }
+    snprintf(client->port, sizeof(client->port), "%d", port);
+    result = evloop_new(&client->l);
+    if (result == 0) {
+        result = conn_pool_new(&client->pool, client->l);
+    }
+    if (result < 0) {
+        result =
+            ERR_SET(e, result, "cannot create an HTTP client for %s", url);
+        goto done;
     }
-    client->session = ne_session_create(uri.scheme, uri.host, uri.port);
-    ne_set_connect_timeout(client->session, HTTP_SYNC_CONNECT_TIMEOUT_S);
-    ne_set_notifier(client->session, http_sync_notify, client);
-    ne_uri_free(&uri);
     *out = client;
-    return 0;
+    client = NULL;
+done:
+    g_free(scheme);
+    http_sync_free(client);
+    return result;
 }
 
-/* Close the connection and free the client; NULL is ignored. */
+/* Close the connections and free the client; NULL is ignored. */
 void
 http_sync_free(http_sync_client *client)
 {
     if (client != NULL) {
-        ne_session_destroy(client->session);
+        conn_pool_free(client->pool);
+        evloop_free(client->l);
+        g_free(client->host);
         free(client);
     }
 }
 
-/* Copy a response header, truncated to `size` bytes; empty if absent. */
-static void
-http_sync_copy_header(char *out, size_t size, ne_request *request,
-                      const char *name)
-{
-    const char *value = ne_get_response_header(request, name);
-    snprintf(out, size, "%s", value == NULL ? "" : value);
-}
-
-/* Read the response body and terminate it with a NUL.  ERR_UNKNOWN: the
- * connection failed before its end.  ERR_FULL: it is too large. */
+/* Look up the IPv4 address of the server.  ERR_UNAVAILABLE: it has none. */
 static int
-http_sync_read_body(http_sync_response *out, ne_request *request,
-                    size_t response_body_bytes_max, err *e)
+http_sync_resolve(struct sockaddr_in *out, const http_sync_client *client,
+                  err *e)
 {
-    size_t capacity = HTTP_SYNC_BLOCK_SIZE;
-    out->body = malloc(capacity + 1);
-    if (out->body == NULL) {
-        return ERR_SET(e, ERR_NO_MEMORY, "HTTP response");
-    }
-    for (;;) {
-        if (capacity - out->length < HTTP_SYNC_BLOCK_SIZE) {
-            capacity *= 2;
-            char *grown = realloc(out->body, capacity + 1);
-            if (grown == NULL) {
-                return ERR_SET(e, ERR_NO_MEMORY, "HTTP response");
-            }
-            out->body = grown;
-        }
-        ssize_t count = ne_read_response_block(
-            request, out->body + out->length, HTTP_SYNC_BLOCK_SIZE);
-        if (count < 0) {
-            return ERR_SET(e, ERR_UNKNOWN, "the response was truncated");
-        }
-        if (count == 0) {
-            break;
-        }
-        out->length += (size_t)count;
-        if (out->length > response_body_bytes_max) {
-            return ERR_SET(e, ERR_FULL,
-                           "the response is larger than %zu bytes",
-                           response_body_bytes_max);
-        }
-    }
-    out->body[out->length] = '\0';
+    struct addrinfo hints = {.ai_family = AF_INET,
+                             .ai_socktype = SOCK_STREAM,
+                             .ai_flags = AI_NUMERICSERV};
+    struct addrinfo *found = NULL;
+    int error = getaddrinfo(client->host, client->port, &hints, &found);
+    if (error != 0) {
+        return ERR_SET(e, ERR_UNAVAILABLE, "%s: %s", client->host,
+                       gai_strerror(error));
+    }
+    memcpy(out, found->ai_addr, sizeof(*out));
+    freeaddrinfo(found);
     return 0;
 }
 
-/* Set the body, headers and flags of a request. */
+/* Keep a response for the caller. */
 static void
-http_sync_prepare(ne_request *request, const http_sync_request *source)
+http_sync_on_done(const http_async_response *response, void *payload)
 {
-    ne_set_request_flag(request, NE_REQFLAG_IDEMPOTENT, source->may_resend);
-    if (source->length > 0) {
-        ne_set_request_body_buffer(request, source->body, source->length);
+    http_sync_exchange *x = payload;
+    http_sync_response *out = x->out;
+    const char(*values)[HTTP_ASYNC_FIELD_VALUE_SIZE] = response->values;
+    x->ended = true;
+    x->dropped = response->dropped;
+    x->result = response->result;
+    out->status = response->status;
+    out->length = response->length;
+    out->body = malloc(response->length + 1);
+    if (out->body != NULL) {
+        memcpy(out->body, response->body, response->length + 1);
     }
-    if (source->content_type != NULL && source->content_type[0] != '\0') {
-        ne_add_request_header(request, "Content-Type", source->content_type);
+    snprintf(out->content_type, sizeof(out->content_type), "%s",
+             values[HTTP_SYNC_CONTENT_TYPE]);
+    snprintf(out->etag, sizeof(out->etag), "%s", values[HTTP_SYNC_ETAG]);
+    snprintf(out->outcome, sizeof(out->outcome), "%s",
+             values[HTTP_SYNC_OUTCOME]);
+    snprintf(out->reason, sizeof(out->reason), "%s", values[HTTP_SYNC_REASON]);
+    snprintf(out->request, sizeof(out->request), "%s",
+             values[HTTP_SYNC_REQUEST]);
+    ev_break(x->l->loop, EVBREAK_ALL);
+}
+
+/* Send the request once and wait until it has ended. */
+static void
+http_sync_exchange_once(http_sync_exchange *x, http_sync_client *client,
+                        const struct sockaddr_in *to,
+                        const http_async_options *opts)
+{
+    x->ended = false;
+    evloop_update_now(client->l);
+    if (http_async_start(NULL, client->pool, client->l, to, opts,
+                         http_sync_on_done, x) < 0) {
+        x->result = HTTP_ASYNC_NOT_SENT;
+        return;
     }
-    for (size_t i = 0;
-         i < HTTP_SYNC_HEADERS_MAX && source->headers[i].name != NULL; i++) {
-        ne_add_request_header(request, source->headers[i].name,
-                              source->headers[i].value);
+    while (!x->ended) {
+        ev_run(client->l->loop, 0);
     }
 }
 
-/* Send a prepared request and read the response; errors as those of
- * http_sync_perform(). */
+/* Return the result of an exchange that has ended. */
 static int
-http_sync_exchange(http_sync_response *out, http_sync_client *client,
-                   ne_request *request, const http_sync_request *source,
-                   err *e)
+http_sync_result(const http_sync_exchange *x, err *e)
 {
-    bool was_connected = client->connected;
-    int begin_result = ne_begin_request(request);
-    if (begin_result != NE_OK) {
-        client->connected = false;
-        bool never_sent = begin_result == NE_CONNECT && !was_connected;
-        return ERR_SET(e, never_sent ? ERR_UNAVAILABLE : ERR_UNKNOWN, "%s",
-                       ne_get_error(client->session));
-    }
-    out->resent = was_connected && client->connects > 0;
-    out->status = ne_get_status(request)->code;
-    http_sync_copy_header(out->content_type, sizeof(out->content_type),
-                          request, "Content-Type");
-    http_sync_copy_header(out->etag, sizeof(out->etag), request, "ETag");
-    http_sync_copy_header(out->outcome, sizeof(out->outcome), request,
-                          "Lav-Outcome");
-    http_sync_copy_header(out->reason, sizeof(out->reason), request,
-                          "Lav-Reason");
-    http_sync_copy_header(out->request, sizeof(out->request), request,
-                          "Lav-Request-Id");
-    int result =
-        http_sync_read_body(out, request, source->response_body_bytes_max, e);
-    if (result == 0 && ne_end_request(request) != NE_OK) {
-        result = ERR_SET(e, ERR_UNKNOWN, "%s", ne_get_error(client->session));
-    }
-    client->connected = result == 0;
-    return result;
+    switch (x->result) {
+    case HTTP_ASYNC_COMPLETE:
+        return x->out->body == NULL
+                   ? ERR_SET(e, ERR_NO_MEMORY, "HTTP response")
+                   : 0;
+    case HTTP_ASYNC_NOT_SENT:
+        return x->out->resent
+                   ? ERR_SET(e, ERR_UNKNOWN, "no response, and no connection")
+                   : ERR_SET(e, ERR_UNAVAILABLE, "no connection");
+    case HTTP_ASYNC_NO_RESPONSE:
+        return ERR_SET(e, ERR_UNKNOWN, "no complete response");
+    case HTTP_ASYNC_TOO_LARGE:
+        return ERR_SET(e, ERR_FULL, "the response is too large");
+    }
+    return ERR_UNKNOWN;
+}
+
+/* Append a header line. */
+static void
+http_sync_write_header(bytebuf *out, const char *name, const char *value)
+{
+    bytebuf_append_text(out, name);
+    bytebuf_append_text(out, ": ");
+    bytebuf_append_text(out, value);
+    bytebuf_append_text(out, "\r\n");
+}
+
+/* Write the header lines of a request, with a NUL. */
+static void
+http_sync_write_headers(bytebuf *out, const http_sync_request *request)
+{
+    if (request->content_type != NULL && request->content_type[0] != '\0') {
+        http_sync_write_header(out, "Content-Type", request->content_type);
+    }
+    for (size_t i = 0;
+         i < HTTP_SYNC_HEADERS_MAX && request->headers[i].name != NULL; i++) {
+        http_sync_write_header(out, request->headers[i].name,
+                               request->headers[i].value);
+    }
+    bytebuf_append(out, "", 1);
 }
 
 /*
  * Send a request and read the whole response.  Unless it may be resent, it
- * goes over a new connection, so that neon doesn't send it twice.
- * ERR_UNAVAILABLE: it was never sent.  ERR_UNKNOWN: it may have been sent,
- * and there is no complete response.  ERR_FULL: the response is too large.
- * Whatever the result, the caller passes `out` to http_sync_response_clear().
+ * goes over a new connection: a server may close a kept one just as the
+ * request is sent.  ERR_UNAVAILABLE: it was never sent.  ERR_UNKNOWN: it may
+ * have been sent, and there is no complete response.  ERR_FULL: the response
+ * is too large.  Whatever the result, the caller passes `out` to
+ * http_sync_response_clear().
  */
 int
 http_sync_perform(http_sync_response *out, http_sync_client *client,
                   const http_sync_request *request, err *e)
 {
+    struct sockaddr_in to;
+    bytebuf headers = {0};
+    http_sync_exchange x = {.l = client->l, .out = out};
     memset(out, 0, sizeof(*out));
-    client->connects = 0;
-    if (!request->may_resend) {
-        ne_close_connection(client->session);
-        client->connected = false;
-    }
-    ne_set_read_timeout(client->session, request->timeout_s);
-    ne_request *sent =
-        ne_request_create(client->session, request->method, request->path);
-    http_sync_prepare(sent, request);
-    int result = http_sync_exchange(out, client, sent, request, e);
-    ne_request_destroy(sent);
+    int result = http_sync_resolve(&to, client, e);
     if (result < 0) {
-        ne_close_connection(client->session);
-        client->connected = false;
+        return result;
     }
-    return result;
+    http_sync_write_headers(&headers, request);
+    http_async_options opts = {
+        .method = request->method,
+        .path = request->path,
+        .body = request->length > 0 ? request->body : NULL,
+        .length = request->length,
+        .header_lines = bytebuf_data(&headers),
+        .timeout_us = request->timeout_s * CLOCK_US_PER_S,
+        .connect_timeout_us = HTTP_SYNC_CONNECT_TIMEOUT_US,
+        .response_body_bytes_max = request->response_body_bytes_max};
+    memcpy(opts.fields, http_sync_fields, sizeof(http_sync_fields));
+    if (!request->may_resend) {
+        conn_pool_close_idle(client->pool, &to);
+    }
+    http_sync_exchange_once(&x, client, &to, &opts);
+    if (x.dropped && request->may_resend) {
+        http_sync_response_clear(out);
+        out->resent = true;
+        http_sync_exchange_once(&x, client, &to, &opts);
+    }
+    bytebuf_clear(&headers);
+    return http_sync_result(&x, e);
 }
 
 /* Free the body of a response. */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,11 +8,11 @@
  *   rpc_client    connections to other nodes (nng)
  *   rpc_server    calls and control requests from other nodes (nng)
  *   admitter      admission control for the local target
- *   target_http   HTTP client of the local target (neon)
+ *   target_http   HTTP client of the local target
  *   control       cancellation, gossip and objects for other nodes
  *   gossip        probes members and spreads membership changes (nng)
  *   config_store  files of the configuration in force
- *   store_sync    platform: configuration, membership, owners of ids (neon)
+ *   store_sync    platform: configuration, membership, owners of ids
  */
 #ifndef LAV_NODE_H
 #define LAV_NODE_H
--- a/src/node/target/target_http.h
+++ b/src/node/target/target_http.h
@@ -1,5 +1,5 @@
 /*
- * target_http: HTTP client of the local target, built on neon.  Calls run on a
+ * target_http: HTTP client of the local target, on http_sync.  Calls run on a
  * pool with one thread per slot of the target; a further thread sends
  * cancellations.
  *
--- a/tests/unit/http_async_test.c
+++ b/tests/unit/http_async_test.c
@@ -1,62 +1,17 @@
 /* The HTTP client of the store, of peers and of health checks against a server
  * whose responses are not valid HTTP/1.1. */
-#include <arpa/inet.h>
 #include <criterion/criterion.h>
-#include <pthread.h>
 #include <stdbool.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include "broken_response.h"
 #include "conn_pool.h"
 #include "evloop.h"
 #include "http_async.h"
 #include "lav/clock.h"
+#include "response_server.h"
 
 #define REQUEST_TIMEOUT_US (5 * CLOCK_US_PER_S)
 
-typedef struct response_server {
-    int listener;
-    const broken_response *response;
-} response_server;
-
-/* Serves one connection: reads a request and sends the response. */
-static void *
-serve_response(void *payload)
-{
-    response_server *server = payload;
-    char request[1024] = "";
-    size_t length = 0;
-    int fd = accept(server->listener, NULL, NULL);
-    while (strstr(request, "\r\n\r\n") == NULL) {
-        ssize_t got =
-            recv(fd, request + length, sizeof(request) - 1 - length, 0);
-        if (got <= 0) {
-            break;
-        }
-        length += (size_t)got;
-        request[length] = '\0';
-    }
-    broken_response_send(fd, server->response, "");
-    close(fd);
-    return NULL;
-}
-
-/* Listens on a free loopback port, which `at` is set to. */
-static int
-listen_on_loopback(struct sockaddr_in *at)
-{
-    socklen_t size = sizeof(*at);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    *at = (struct sockaddr_in){.sin_family = AF_INET,
-                               .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    cr_assert_eq(bind(fd, (struct sockaddr *)at, sizeof(*at)), 0);
-    cr_assert_eq(listen(fd, 1), 0);
-    cr_assert_eq(getsockname(fd, (struct sockaddr *)at, &size), 0);
-    return fd;
-}
-
 typedef struct received {
     struct ev_loop *loop;
     bool ended;
@@ -80,23 +35,22 @@
 static received
 request_once(const broken_response *response)
 {
-    struct sockaddr_in at;
-    response_server server = {listen_on_loopback(&at), response};
+    response_server server;
     http_async_options opts = {
         .method = "GET", .path = "/", .timeout_us = REQUEST_TIMEOUT_US};
-    pthread_t thread;
     evloop *l = NULL;
     conn_pool *pool = NULL;
-    cr_assert_eq(pthread_create(&thread, NULL, serve_response, &server), 0);
+    response_server_start(&server, response);
     cr_assert_eq(evloop_new(&l), 0);
     cr_assert_eq(conn_pool_new(&pool, l), 0);
     received r = {.loop = l->loop};
-    cr_assert_eq(http_async_start(NULL, pool, l, &at, &opts, on_done, &r), 0);
+    cr_assert_eq(
+        http_async_start(NULL, pool, l, &server.address, &opts, on_done, &r),
+        0);
     while (!r.ended) {
         ev_run(l->loop, 0);
     }
-    pthread_join(thread, NULL);
-    close(server.listener);
+    response_server_stop(&server);
     conn_pool_free(pool);
     evloop_free(l);
     return r;
--- /dev/null
+++ b/tests/unit/response_server.h
@@ -0,0 +1,24 @@
+/*
+ * response_server: reads one request on one connection and answers it with
+ * bytes that may be no valid response.
+ */
+#ifndef LAV_RESPONSE_SERVER_H
+#define LAV_RESPONSE_SERVER_H
+
+#include <netinet/in.h>
+#include <pthread.h>
+
+#include "broken_response.h"
+
+typedef struct response_server {
+    int listener;
+    struct sockaddr_in address;
+    const broken_response *response;
+    pthread_t thread;
+} response_server;
+
+void response_server_start(response_server *server,
+                           const broken_response *response);
+void response_server_stop(response_server *server);
+
+#endif
--- a/tests/unit/trap_test.c
+++ b/tests/unit/trap_test.c
@@ -1,5 +1,5 @@
-/* nng and neon resend requests by themselves in their default settings; these
- * tests guard the settings that prevent it. */
+/* nng resends requests by itself in its default settings, and http_sync where
+ * the caller allows it; these tests guard the settings that prevent it. */
 #include <criterion/criterion.h>
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
@@ -81,14 +81,15 @@
     int expected; /* requests that the server read in the second exchange */
 } persistent_case;
 
-/* neon resends a request when the persistent connection closes after sending,
- * unless the request forbids it; then it uses a new connection for it. */
+/* http_sync resends a request when the persistent connection closes after
+ * sending, unless the request forbids it; then it uses a new connection for
+ * it. */
 static const persistent_case persistent_cases[] = {
     {true, 2},
     {false, 1},
 };
 
-Test(traps, neon_resends_unless_disabled)
+Test(traps, a_kept_connection_resends_unless_disabled)
 {
     for (size_t i = 0; i < 2; i++) {
         char url[64];
