msg: replies of other nodes with an invalid status are not relayed

lav-node relays the status of another node's reply as it is: with 0, callers get an HTTP response of status 000.

Cause: a reply was checked for its attempt and its body only.

The check moves from the router to msg, where it runs without a network, and takes a reply that is done only with a status from 200 to 599. Any other ends the attempt as reply_mismatch, as a damaged body does.

Without the check of the status, msg/only_replies_that_can_be_relayed_are_taken fails for five of twelve rows; with it for none.

--- a/include/lav/msg.h
+++ b/include/lav/msg.h
@@ -119,6 +119,7 @@
 
 int msg_encode(char **out, size_t *out_length, const msg *m);
 int msg_decode(msg *out, const char *bytes, size_t length, err *e);
+bool msg_is_reply_to(const msg *m, uint64_t nonce);
 void msg_clear(msg *m);
 int msg_body_copy(msg_body *out, const char *bytes, size_t length);
 
--- a/src/node/callers/router_attempt.c
+++ b/src/node/callers/router_attempt.c
@@ -239,17 +239,6 @@
     }
 }
 
-/* Whether a message is the reply to the present attempt, with an intact
- * body. */
-static bool
-router_is_reply_intact(const router_call *state, const msg *reply)
-{
-    return reply->kind == MSG_REPLY && reply->reply.nonce == state->nonce &&
-           correlation_checksum(reply->reply.body.bytes,
-                                reply->reply.body.length) ==
-               reply->reply.checksum;
-}
-
 /* Handle the end of the present attempt: replied to, not sent, or lost. */
 void
 router_on_attempt_done(router_state *r, int handle, const router_event *event,
@@ -264,7 +253,7 @@
         endpoint_get(r->endpoints, state->instance, now_us)->outstanding--;
     }
     if (event->result == RPC_CLIENT_REPLY &&
-        router_is_reply_intact(state, event->reply)) {
+        msg_is_reply_to(event->reply, state->nonce)) {
         correlation_remove(r->correlations, state->nonce);
         router_on_reply(r, handle, &event->reply->reply, now_us);
         return;
