--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -4,6 +4,8 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "proc.h"
+
 #define MESH_TRIES 200
 #define MESH_PAUSE_MS 50 /* below the rate where the log omits lines */
 #define MESH_COUNTED_CALLS 30
@@ -93,6 +95,32 @@
     harness_start_node(node);
 }
 
+/* Add a node that is not one of ours: `serve` serves its peers' address.  Its
+ * entry names an instance of `service`, which non-idempotent requests under
+ * `prefix` are for from then on.  Returns the listening descriptor. */
+int
+mesh_add_node(const char *service, const char *prefix, harness_serve_cb serve)
+{
+    char spec[512];
+    char routes[512];
+    int port = proc_reserve_port();
+    int listener = harness_listen(port, 0, serve);
+    snprintf(spec, sizeof(spec),
+             "{\"node\":\"other\",\"service\":\"%s\",\"zone\":\"z0\","
+             "\"target\":\"i-other\",\"started_ms\":1000,\"incarnation\":5,"
+             "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
+             "\"slots\":40}",
+             service, port);
+    harness_store_put("lavnodes", "other", spec);
+    snprintf(routes, sizeof(routes),
+             "[" ROUTE("%s", "non_idempotent", "5000ms", "%s") "]", prefix,
+             service);
+    harness_publish_desired(2, routes);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"version\":2")));
+    return listener;
+}
+
 /* Kill the processes of all nodes at once and start new ones. */
 void
 mesh_restart_all(void)
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -6,7 +6,7 @@
 #ifndef LAV_MESH_H
 #define LAV_MESH_H
 
-#include "harness.h"
+#include "harness_private.h"
 
 #define MESH_NODES 3
 
@@ -31,5 +31,7 @@
 int mesh_count_runs_of_node1(const char *prefix);
 void mesh_restart_node(int node);
 void mesh_restart_all(void);
+int mesh_add_node(const char *service, const char *prefix,
+                  harness_serve_cb serve);
 
 #endif
--- a/tests/integration/mesh_broken_test.c
+++ b/tests/integration/mesh_broken_test.c
@@ -9,7 +9,6 @@
 #include "broken_response.h"
 #include "harness_private.h"
 #include "mesh.h"
-#include "proc.h"
 
 TestSuite(mesh_broken, .init = mesh_start, .fini = harness_stop,
           .timeout = 120);
@@ -98,20 +97,7 @@
 static void
 call_peer_with_each(const broken_response_table *table, bool valid)
 {
-    char spec[512];
-    int port = proc_reserve_port();
-    int listener = harness_listen(port, 0, serve_peer);
-    snprintf(spec, sizeof(spec),
-             "{\"node\":\"other\",\"service\":\"broken\",\"zone\":\"z0\","
-             "\"target\":\"i-other\",\"started_ms\":1000,\"incarnation\":5,"
-             "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
-             "\"slots\":40}",
-             port);
-    harness_store_put("lavnodes", "other", spec);
-    harness_publish_desired(
-        2, "[" ROUTE("/b/", "non_idempotent", "5000ms", "broken") "]");
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"version\":2")));
+    int listener = mesh_add_node("broken", "/b/", serve_peer);
     call_with_each("/b/ok", table, valid);
     shutdown(listener, SHUT_RDWR);
 }
--- a/tests/integration/mesh_cut_test.c
+++ b/tests/integration/mesh_cut_test.c
@@ -8,7 +8,6 @@
 
 #include "harness_private.h"
 #include "mesh.h"
-#include "proc.h"
 
 TestSuite(mesh_cut, .init = mesh_start, .fini = harness_stop, .timeout = 120);
 
@@ -145,20 +144,7 @@
 /* Another node, whose first response is cut, or its response to the claim. */
 Test(mesh_cut, responses_of_a_node)
 {
-    char spec[512];
-    int port = proc_reserve_port();
-    int listener = harness_listen(port, 0, serve_cut_peer);
-    snprintf(spec, sizeof(spec),
-             "{\"node\":\"other\",\"service\":\"cut\",\"zone\":\"z0\","
-             "\"target\":\"i-other\",\"started_ms\":1000,\"incarnation\":5,"
-             "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
-             "\"slots\":40}",
-             port);
-    harness_store_put("lavnodes", "other", spec);
-    harness_publish_desired(
-        2, "[" ROUTE("/c/", "non_idempotent", "5000ms", "cut") "]");
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"version\":2")));
+    int listener = mesh_add_node("cut", "/c/", serve_cut_peer);
     for (size_t i = 0; i < COUNT(peer_cases); i++) {
         peer_answers_claims_only = peer_cases[i];
         call_with_each_cut("/c/ok", strlen(PEER_SEALED));
--- a/tests/integration/mesh_flood_test.c
+++ b/tests/integration/mesh_flood_test.c
@@ -4,12 +4,16 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "harness_private.h"
 #include "mesh.h"
 
 #define PEAK_MAX_KB (64 * 1024) /* a quarter of the memory of a node */
+#define FLOODS 48               /* of which some wait for a slot */
 #define LOG_LINES_MAX                                                         \
     3 /* about one request, at a node, beside one an attempt */
 
@@ -22,11 +26,26 @@
 
 /* Bytes that are no response to the request. */
 static const flood_case flood_cases[] = {
-    {"garbage", 502},        {"newlines", 502},      {"head", 502},
-    {"fields", 502},         {"informational", 502}, {"others", 502},
-    {"other-length", 502},   {"other-chunked", 502}, {"other-eof", 502},
-    {"extension", 502},      {"trailer", 502},       {"error-length", 502},
-    {"error-chunked", 502},  {"error-eof", 502},     {"refusal", 503},
+    {"garbage", 502},
+    {"newlines", 502},
+    {"head", 502},
+    {"fields", 502},
+    {"informational", 502},
+    {"others", 502},
+    {"reason", 502},
+    {"field-name", 502},
+    {"informational-head", 502},
+    {"chunk-size", 502},
+    {"trailer-fields", 502},
+    {"other-length", 502},
+    {"other-chunked", 502},
+    {"other-eof", 502},
+    {"extension", 502},
+    {"trailer", 502},
+    {"error-length", 502},
+    {"error-chunked", 502},
+    {"error-eof", 502},
+    {"refusal", 503},
     {"refusal-sealed", 503},
 };
 
@@ -90,6 +109,77 @@
     }
 }
 
+/* Many of them at the same time, whose callers do not read what comes. */
+Test(mesh_flood, many_at_a_time)
+{
+    static const char *const kinds[] = {
+        "head",          "fields", "extension", "error-eof",
+        "other-chunked", "length", "chunked",   "eof"};
+    int fds[FLOODS];
+    char id[64];
+    for (int i = 0; i < FLOODS; i++) {
+        const char *kind = kinds[i % (int)COUNT(kinds)];
+        char path[64];
+        snprintf(id, sizeof(id), "many-%d", i);
+        snprintf(path, sizeof(path), "/n/flood-%s", kind);
+        fds[i] = harness_start_call(0, "POST", path, id);
+    }
+    for (int i = 0; i < FLOODS; i++) {
+        snprintf(id, sizeof(id), "many-%d", i);
+        cr_expect(HARNESS_WAIT_FOR(harness_run_count(id) == 0 ||
+                                   harness_was_disconnected(id)),
+                  "%s", id);
+        close(fds[i]);
+    }
+    for (int node = 0; node < 3; node++) {
+        cr_expect_lt(harness_node_peak_kb(node), PEAK_MAX_KB, "%ld KiB",
+                     harness_node_peak_kb(node));
+    }
+    harness_response response;
+    harness_call(&response, 0, "POST", "/n/ok", "after-many", "", 0);
+    cr_expect_eq(response.status, 200, "%d", response.status);
+    harness_free_response(&response);
+}
+
+/* What a node sends at present. */
+static const char *peer_kind;
+
+static void
+serve_flooding_peer(int fd, int index)
+{
+    harness_request request;
+    (void)index;
+    request.body = malloc(HARNESS_BODY_SIZE_MAX);
+    if (harness_read_request(&request, fd)) {
+        pthread_mutex_lock(&harness_lock);
+        const char *kind = peer_kind;
+        pthread_mutex_unlock(&harness_lock);
+        (void)harness_send_flood(fd, kind, "");
+    }
+    free(request.body);
+}
+
+/* Another process answers at the address of a node: requests, and the claims
+ * of their responses. */
+Test(mesh_flood, a_node)
+{
+    int listener = mesh_add_node("flood", "/f/", serve_flooding_peer);
+    for (size_t i = 0; i < COUNT(flood_cases); i++) {
+        harness_response response;
+        pthread_mutex_lock(&harness_lock);
+        peer_kind = flood_cases[i].kind;
+        pthread_mutex_unlock(&harness_lock);
+        harness_call(&response, 0, "POST", "/f/ok", flood_cases[i].kind, "",
+                     0);
+        cr_expect_eq(response.status, 502, "%s: %d", flood_cases[i].kind,
+                     response.status);
+        harness_free_response(&response);
+    }
+    cr_expect_lt(harness_node_peak_kb(0), PEAK_MAX_KB, "%ld KiB",
+                 harness_node_peak_kb(0));
+    shutdown(listener, SHUT_RDWR);
+}
+
 /* The caller disconnects while the target floods. */
 Test(mesh_flood, callers_that_leave)
 {
--- a/tests/unit/http_async_test.c
+++ b/tests/unit/http_async_test.c
@@ -40,7 +40,7 @@
         .method = "GET", .path = "/", .timeout_us = REQUEST_TIMEOUT_US};
     evloop *l = NULL;
     conn_pool *pool = NULL;
-    response_server_start(&server, response);
+    response_server_start(&server, response, NULL);
     cr_assert_eq(evloop_new(&l), 0);
     cr_assert_eq(conn_pool_new(&pool, l), 0);
     received r = {.loop = l->loop};
