--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "broken_response.h"
 #include "lav/clock.h"
 #include "lav/id.h"
 #include "harness_private.h"
@@ -267,8 +268,8 @@
 static void
 harness_choose_mixed_mode(char *out, size_t size, const char *id)
 {
-    static const char *const faults[] = {"shed", "reset",   "cut",   "fail",
-                                         "late", "garbage", "extra", "slow"};
+    static const char *const faults[] = {"shed", "reset",  "cut",   "fail",
+                                         "late", "broken", "extra", "slow"};
     uint64_t hash = id_hash(id);
     pthread_mutex_lock(&harness_lock);
     bool faulty = (int)(hash % HARNESS_PERMILLE_BASE) < harness_fault_permille;
@@ -462,6 +463,10 @@
         harness_send(fd, "\1\2\3 not HTTP\r\n\r\n", 16);
         return false;
     }
+    if (harness_mode_is(mode, "broken")) {
+        broken_response_send(fd, broken_response_get(id_hash(id)), headers);
+        return false;
+    }
     if (harness_mode_is(mode, "echo")) {
         harness_write_response(fd, 200, headers, request->body,
                                request->length);
--- a/tests/integration/mesh_broken_test.c
+++ b/tests/integration/mesh_broken_test.c
@@ -151,3 +151,56 @@
 {
     call_peer_with_each(&broken_chunks, false);
 }
+
+/* One of two targets sends what is not valid; a request that may run again is
+ * answered by the other. */
+Test(mesh_broken, idempotent_requests_run_elsewhere)
+{
+    harness_set_target_refusing(1, true);
+    int listener = harness_listen(harness_nodes[1].ports[HARNESS_TARGET], 1,
+                                  serve_target);
+    for (size_t i = 0; i < broken_fields.count; i++) {
+        const char *name = broken_fields.cases[i].name;
+        harness_response response;
+        char id[32];
+        snprintf(id, sizeof(id), "elsewhere-%zu", i);
+        pthread_mutex_lock(&harness_lock);
+        sent = &broken_fields.cases[i];
+        pthread_mutex_unlock(&harness_lock);
+        harness_call(&response, 0, "GET", "/i/ok", id, NULL, 0);
+        cr_expect_eq(response.status, 200, "%s: %s", name, response.head);
+        cr_expect_eq(harness_last_run_node(id), 2, "%s", name);
+        harness_free_response(&response);
+    }
+    shutdown(listener, SHUT_RDWR);
+}
+
+#define LARGE_CHUNK_SIZE 0x30000 /* more than a node holds back */
+
+/* A response of which the caller has a part already when it turns out not to
+ * be valid: its connection is reset. */
+Test(mesh_broken, a_large_body_that_breaks)
+{
+    char *chunk = malloc(LARGE_CHUNK_SIZE + 64);
+    int length = sprintf(chunk, "Transfer-Encoding: chunked\r\n\r\n%x\r\n",
+                         LARGE_CHUNK_SIZE);
+    memset(chunk + length, 'a', LARGE_CHUNK_SIZE);
+    memcpy(chunk + length + LARGE_CHUNK_SIZE, "XX0\r\n\r\n", 7);
+    const broken_response response = {
+        .name = "large",
+        .start = {"HTTP/1.1 200 OK\r\n", strlen("HTTP/1.1 200 OK\r\n")},
+        .rest = {chunk, (size_t)length + LARGE_CHUNK_SIZE + 7}};
+    pthread_mutex_lock(&harness_lock);
+    sent = &response;
+    pthread_mutex_unlock(&harness_lock);
+    harness_set_target_refusing(0, true);
+    int listener = harness_listen(harness_nodes[0].ports[HARNESS_TARGET], 0,
+                                  serve_target);
+    harness_response received;
+    harness_call(&received, 0, "POST", "/m/ok", "large", "", 0);
+    cr_expect_eq(received.status, 200, "%s", received.head);
+    cr_expect_not(received.complete);
+    harness_free_response(&received);
+    shutdown(listener, SHUT_RDWR);
+    free(chunk);
+}
--- a/tests/standin/broken_response.c
+++ b/tests/standin/broken_response.c
@@ -61,6 +61,7 @@
     STATUS_LINE("status 000 before a response", "HTTP/1.1 000 X\r\n\r\n" OK),
     STATUS_LINE("status 000 after an interim response",
                 "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 X\r\n"),
+    STATUS_LINE("no text", "\1\2\3 not HTTP\r\n"),
     STATUS_LINE("interim response without a version",
                 "100 Continue\r\n\r\n" OK),
 };
@@ -234,6 +235,17 @@
 };
 const broken_response_table valid_responses = TABLE(valid_cases);
 
+/* Return one of the responses that are not valid, chosen by any number. */
+const broken_response *
+broken_response_get(uint64_t number)
+{
+    static const broken_response_table *const tables[] = {
+        &broken_status_lines, &broken_fields, &broken_framing, &broken_chunks};
+    const size_t count = sizeof(tables) / sizeof(tables[0]);
+    const broken_response_table *table = tables[number % count];
+    return &table->cases[number / count % table->count];
+}
+
 /* Send a part of a response; what the client no longer takes is dropped. */
 static void
 broken_response_send_part(int fd, const char *bytes, size_t length)
--- a/tests/standin/broken_response.h
+++ b/tests/standin/broken_response.h
@@ -7,6 +7,7 @@
 #define LAV_BROKEN_RESPONSE_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 #define BROKEN_RESPONSE_BODY "ok" /* of the valid ones */
 
@@ -33,6 +34,8 @@
 extern const broken_response_table broken_chunks;
 extern const broken_response_table valid_responses;
 
+const broken_response *broken_response_get(uint64_t number);
+
 void broken_response_send(int fd, const broken_response *response,
                           const char *fields);
 
