mesh, response tests: one copy of stand-in nodes and of endless responses

mesh_cut, mesh_refusal, mesh_broken and mesh_flood set up a node that is not one of ours in the same way; the harness's floods and those of the unit tests were the same loop; two tests listed the same tables.

--- a/tests/integration/harness_flood.c
+++ b/tests/integration/harness_flood.c
@@ -1,15 +1,10 @@
 /* Targets in trouble that send bytes without end until the node closes the
  * connection. */
-#include <errno.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 
+#include "broken_response.h"
 #include "harness_private.h"
-#include "lav/clock.h"
-
-#define HARNESS_FLOOD_PIECE_BYTES 16384
-#define HARNESS_FLOOD_MAX_US (15 * CLOCK_US_PER_S) /* then it gives up */
 
 #define OWN                                                                   \
     "Lavenderfield-Attempt-Id: %s\r\nLavenderfield-Response-Seal: seal\r\n"
@@ -88,34 +83,13 @@
     return kind != NULL && !kind->refuses;
 }
 
-/* Send a flood of a kind until the client closes the connection, or for
- * HARNESS_FLOOD_MAX_US; whether the client closed it. */
+/* Send a flood of a kind; whether the client closed the connection. */
 bool
 harness_send_flood(int fd, const char *name, const char *id)
 {
-    static const struct timeval limit = {1, 0};
     const harness_flood_kind *kind = harness_find_flood_kind(name);
-    int64_t end_us = clock_now_us() + HARNESS_FLOOD_MAX_US;
     char start[512];
-    char piece[HARNESS_FLOOD_PIECE_BYTES];
-    size_t unit = strlen(kind->repeated);
-    size_t length = sizeof(piece) / unit * unit;
-    for (size_t at = 0; at < length; at += unit) {
-        memcpy(piece + at, kind->repeated, unit);
-    }
-    if (length == 0) {
-        return false; /* the unit is larger than a piece */
-    }
     int size = snprintf(start, sizeof(start), kind->start, id);
     harness_send(fd, start, (size_t)size);
-    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-    size_t sent = 0;
-    while (clock_now_us() < end_us) {
-        ssize_t count = send(fd, piece + sent, length - sent, MSG_NOSIGNAL);
-        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-            return true;
-        }
-        sent = count < 0 ? sent : (sent + (size_t)count) % length;
-    }
-    return false;
+    return broken_response_repeat(fd, kind->repeated);
 }
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -95,14 +95,13 @@
     harness_start_node(node);
 }
 
-/* Add a node that is not one of ours: `serve` serves its peers' address.  Its
- * entry names an instance of `service`, which non-idempotent requests under
- * `prefix` are for from then on.  Returns the listening descriptor. */
+/* Add a node that is not one of ours: `serve` serves its peers' address, and
+ * its entry names an instance of `service`.  Returns the listening
+ * descriptor. */
 int
-mesh_add_node(const char *service, const char *prefix, harness_serve_cb serve)
+mesh_add_node(const char *service, harness_serve_cb serve)
 {
     char spec[512];
-    char routes[512];
     int port = proc_reserve_port();
     int listener = harness_listen(port, 0, serve);
     snprintf(spec, sizeof(spec),
@@ -112,11 +111,22 @@
              "\"slots\":40}",
              service, port);
     harness_store_put("lavnodes", "other", spec);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
+    return listener;
+}
+
+/* The same, and a desired state whose only route is one of non-idempotent
+ * requests under `prefix` to `service`. */
+int
+mesh_add_routed_node(const char *service, const char *prefix,
+                     harness_serve_cb serve)
+{
+    char routes[512];
+    int listener = mesh_add_node(service, serve);
     snprintf(routes, sizeof(routes),
              "[" ROUTE("%s", "non_idempotent", "5000ms", "%s") "]", prefix,
              service);
     harness_publish_desired(2, routes);
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"version\":2")));
     return listener;
 }
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -31,7 +31,8 @@
 int mesh_count_runs_of_node1(const char *prefix);
 void mesh_restart_node(int node);
 void mesh_restart_all(void);
-int mesh_add_node(const char *service, const char *prefix,
-                  harness_serve_cb serve);
+int mesh_add_node(const char *service, harness_serve_cb serve);
+int mesh_add_routed_node(const char *service, const char *prefix,
+                         harness_serve_cb serve);
 
 #endif
--- a/tests/integration/mesh_broken_test.c
+++ b/tests/integration/mesh_broken_test.c
@@ -97,7 +97,7 @@
 static void
 call_peer_with_each(const broken_response_table *table, bool valid)
 {
-    int listener = mesh_add_node("broken", "/b/", serve_peer);
+    int listener = mesh_add_routed_node("broken", "/b/", serve_peer);
     call_with_each("/b/ok", table, valid);
     shutdown(listener, SHUT_RDWR);
 }
@@ -185,11 +185,11 @@
     int length = sprintf(chunk, "Transfer-Encoding: chunked\r\n\r\n%x\r\n",
                          LARGE_CHUNK_SIZE);
     memset(chunk + length, 'a', LARGE_CHUNK_SIZE);
-    memcpy(chunk + length + LARGE_CHUNK_SIZE, "XX0\r\n\r\n", 7);
+    int rest = sprintf(chunk + length + LARGE_CHUNK_SIZE, "XX0\r\n\r\n");
     const broken_response response = {
         .name = "large",
         .start = {"HTTP/1.1 200 OK\r\n", strlen("HTTP/1.1 200 OK\r\n")},
-        .rest = {chunk, (size_t)length + LARGE_CHUNK_SIZE + 7}};
+        .rest = {chunk, (size_t)(length + LARGE_CHUNK_SIZE + rest)}};
     pthread_mutex_lock(&harness_lock);
     sent = &response;
     pthread_mutex_unlock(&harness_lock);
--- a/tests/integration/mesh_cut_test.c
+++ b/tests/integration/mesh_cut_test.c
@@ -144,7 +144,7 @@
 /* Another node, whose first response is cut, or its response to the claim. */
 Test(mesh_cut, responses_of_a_node)
 {
-    int listener = mesh_add_node("cut", "/c/", serve_cut_peer);
+    int listener = mesh_add_routed_node("cut", "/c/", serve_cut_peer);
     for (size_t i = 0; i < COUNT(peer_cases); i++) {
         peer_answers_claims_only = peer_cases[i];
         call_with_each_cut("/c/ok", strlen(PEER_SEALED));
--- a/tests/integration/mesh_flood_test.c
+++ b/tests/integration/mesh_flood_test.c
@@ -163,7 +163,7 @@
  * of their responses. */
 Test(mesh_flood, a_node)
 {
-    int listener = mesh_add_node("flood", "/f/", serve_flooding_peer);
+    int listener = mesh_add_routed_node("flood", "/f/", serve_flooding_peer);
     for (size_t i = 0; i < COUNT(flood_cases); i++) {
         harness_response response;
         pthread_mutex_lock(&harness_lock);
--- a/tests/integration/mesh_refusal_test.c
+++ b/tests/integration/mesh_refusal_test.c
@@ -9,7 +9,6 @@
 #include "harness_private.h"
 #include "lav/reason.h"
 #include "mesh.h"
-#include "proc.h"
 
 #define REQUESTS 5 /* of a case; the retry budget of a node allows for two */
 
@@ -100,18 +99,8 @@
  * it may run at that peer. */
 Test(mesh_refusal, a_refusal_of_another_attempt)
 {
-    char spec[512];
     int failed = 0;
-    int port = proc_reserve_port();
-    int listener = harness_listen(port, 0, serve_refusals_of_another);
-    snprintf(spec, sizeof(spec),
-             "{\"node\":\"other\",\"service\":\"far\",\"zone\":\"z0\","
-             "\"target\":\"i-other\",\"started_ms\":1000,\"incarnation\":5,"
-             "\"sequence\":5,\"peer\":\"127.0.0.1:%d\",\"state\":\"ready\","
-             "\"slots\":40}",
-             port);
-    harness_store_put("lavnodes", "other", spec);
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
+    int listener = mesh_add_node("far", serve_refusals_of_another);
     for (int i = 0; i < PEER_CALLS; i++) {
         char id[32];
         harness_response response;
--- a/tests/standin/broken_response.c
+++ b/tests/standin/broken_response.c
@@ -1,8 +1,14 @@
 #include "broken_response.h"
 
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "lav/clock.h"
+
+#define BROKEN_RESPONSE_PIECE_SIZE 16384
+#define BROKEN_RESPONSE_REPEAT_MAX_US (15 * CLOCK_US_PER_S)
+
 #define PART(text)                                                            \
     {                                                                         \
         text, sizeof(text) - 1                                                \
@@ -235,15 +241,17 @@
 };
 const broken_response_table valid_responses = TABLE(valid_cases);
 
+const broken_response_table
+    *const broken_response_tables[BROKEN_RESPONSE_TABLE_COUNT] = {
+        &broken_status_lines, &broken_fields, &broken_framing, &broken_chunks};
+
 /* Return one of the responses that are not valid, chosen by any number. */
 const broken_response *
 broken_response_get(uint64_t number)
 {
-    static const broken_response_table *const tables[] = {
-        &broken_status_lines, &broken_fields, &broken_framing, &broken_chunks};
-    const size_t count = sizeof(tables) / sizeof(tables[0]);
-    const broken_response_table *table = tables[number % count];
-    return &table->cases[number / count % table->count];
+    const broken_response_table *table =
+        broken_response_tables[number % BROKEN_RESPONSE_TABLE_COUNT];
+    return &table->cases[number / BROKEN_RESPONSE_TABLE_COUNT % table->count];
 }
 
 /* Send a part of a response; what the client no longer takes is dropped. */
@@ -263,3 +271,32 @@
     broken_response_send_part(fd, fields, strlen(fields));
     broken_response_send_part(fd, response->rest.bytes, response->rest.length);
 }
+
+/* Send `repeated`, of 1 to BROKEN_RESPONSE_PIECE_SIZE bytes, over and over until the client closes
+ * the connection, or for BROKEN_RESPONSE_REPEAT_MAX_US; whether the client
+ * closed it. */
+bool
+broken_response_repeat(int fd, const char *repeated)
+{
+    static const struct timeval limit = {1, 0};
+    int64_t end_us = clock_now_us() + BROKEN_RESPONSE_REPEAT_MAX_US;
+    char piece[BROKEN_RESPONSE_PIECE_SIZE];
+    size_t unit = strlen(repeated);
+    if (unit == 0 || unit > sizeof(piece)) {
+        return false;
+    }
+    size_t length = sizeof(piece) / unit * unit;
+    for (size_t at = 0; at < length; at++) {
+        piece[at] = repeated[at % unit];
+    }
+    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    size_t sent = 0;
+    while (clock_now_us() < end_us) {
+        ssize_t count = send(fd, piece + sent, length - sent, MSG_NOSIGNAL);
+        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+            return true;
+        }
+        sent = count < 0 ? sent : (sent + (size_t)count) % length;
+    }
+    return false;
+}
--- a/tests/unit/http_async_test.c
+++ b/tests/unit/http_async_test.c
@@ -56,30 +56,24 @@
     return r;
 }
 
-typedef struct table_case {
-    const broken_response_table *table;
-    bool valid;
-} table_case;
-
-static const table_case table_cases[] = {
-    {&valid_responses, true}, {&broken_status_lines, false},
-    {&broken_fields, false},  {&broken_framing, false},
-    {&broken_chunks, false},
-};
+static void
+check_table(const broken_response_table *table, bool valid)
+{
+    for (size_t i = 0; i < table->count; i++) {
+        const char *name = table->cases[i].name;
+        received r = request_once(&table->cases[i]);
+        cr_expect_eq(r.result,
+                     valid ? HTTP_ASYNC_COMPLETE : HTTP_ASYNC_NO_RESPONSE,
+                     "%s: result %d, status %d", name, r.result, r.status);
+        cr_expect(!valid || (r.status == 200 && r.same_body), "%s: %d", name,
+                  r.status);
+    }
+}
 
 Test(http_async, only_valid_responses_are_complete)
 {
-    for (size_t i = 0; i < sizeof(table_cases) / sizeof(table_cases[0]); i++) {
-        const table_case *t = &table_cases[i];
-        for (size_t j = 0; j < t->table->count; j++) {
-            received r = request_once(&t->table->cases[j]);
-            cr_expect_eq(r.result,
-                         t->valid ? HTTP_ASYNC_COMPLETE
-                                  : HTTP_ASYNC_NO_RESPONSE,
-                         "%s: result %d, status %d", t->table->cases[j].name,
-                         r.result, r.status);
-            cr_expect(!t->valid || (r.status == 200 && r.same_body), "%s: %d",
-                      t->table->cases[j].name, r.status);
-        }
+    check_table(&valid_responses, true);
+    for (size_t i = 0; i < BROKEN_RESPONSE_TABLE_COUNT; i++) {
+        check_table(broken_response_tables[i], false);
     }
 }
--- a/tests/unit/http_sync_test.c
+++ b/tests/unit/http_sync_test.c
@@ -9,17 +9,6 @@
 #include "lav/http_sync.h"
 #include "response_server.h"
 
-typedef struct table_case {
-    const broken_response_table *table;
-    bool valid;
-} table_case;
-
-static const table_case table_cases[] = {
-    {&valid_responses, true}, {&broken_status_lines, false},
-    {&broken_fields, false},  {&broken_framing, false},
-    {&broken_chunks, false},
-};
-
 /* Sends a request to a server that answers with `response` and goes on with
  * `repeated`, which may be NULL. */
 static int
@@ -45,24 +34,29 @@
     return result;
 }
 
-Test(http_sync, only_valid_responses_are_complete)
+static void
+check_table(const broken_response_table *table, bool valid)
 {
-    for (size_t i = 0; i < sizeof(table_cases) / sizeof(table_cases[0]); i++) {
-        const table_case *t = &table_cases[i];
-        for (size_t j = 0; j < t->table->count; j++) {
-            const char *name = t->table->cases[j].name;
-            http_sync_response response;
-            int result = request_once(&response, &t->table->cases[j], NULL);
-            cr_expect_eq(result, t->valid ? 0 : ERR_UNKNOWN,
-                         "%s: result %d, status %d", name, result,
-                         response.status);
-            if (t->valid && result == 0) {
-                cr_expect_eq(response.status, 200, "%s", name);
-                cr_expect_str_eq(response.body, BROKEN_RESPONSE_BODY, "%s",
-                                 name);
-            }
-            http_sync_response_clear(&response);
+    for (size_t i = 0; i < table->count; i++) {
+        const char *name = table->cases[i].name;
+        http_sync_response response;
+        int result = request_once(&response, &table->cases[i], NULL);
+        cr_expect_eq(result, valid ? 0 : ERR_UNKNOWN,
+                     "%s: result %d, status %d", name, result,
+                     response.status);
+        if (valid && result == 0) {
+            cr_expect_eq(response.status, 200, "%s", name);
+            cr_expect_str_eq(response.body, BROKEN_RESPONSE_BODY, "%s", name);
         }
+        http_sync_response_clear(&response);
+    }
+}
+
+Test(http_sync, only_valid_responses_are_complete)
+{
+    check_table(&valid_responses, true);
+    for (size_t i = 0; i < BROKEN_RESPONSE_TABLE_COUNT; i++) {
+        check_table(broken_response_tables[i], false);
     }
 }
 
--- a/tests/unit/response_server.c
+++ b/tests/unit/response_server.c
@@ -1,42 +1,11 @@
 #include "response_server.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "lav/clock.h"
-
-#define RESPONSE_SERVER_PIECE_SIZE 16384
-#define RESPONSE_SERVER_REPEAT_MAX_US (15 * CLOCK_US_PER_S)
-
-/* Send `repeated` until the client closes the connection, or for
- * RESPONSE_SERVER_REPEAT_MAX_US; whether the client closed it. */
-static bool
-response_server_repeat(int fd, const char *repeated)
-{
-    static const struct timeval limit = {1, 0};
-    int64_t end_us = clock_now_us() + RESPONSE_SERVER_REPEAT_MAX_US;
-    char piece[RESPONSE_SERVER_PIECE_SIZE];
-    size_t unit = strlen(repeated);
-    size_t length = sizeof(piece) / unit * unit;
-    size_t sent = 0;
-    for (size_t at = 0; at < length; at += unit) {
-        memcpy(piece + at, repeated, unit);
-    }
-    setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
-    while (clock_now_us() < end_us) {
-        ssize_t count = send(fd, piece + sent, length - sent, MSG_NOSIGNAL);
-        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-            return true;
-        }
-        sent = count < 0 ? sent : (sent + (size_t)count) % length;
-    }
-    return false;
-}
-
 /* Serve one connection. */
 static void *
 response_server_main(void *payload)
@@ -56,7 +25,7 @@
     }
     broken_response_send(fd, server->response, "");
     if (server->repeated != NULL) {
-        server->was_closed = response_server_repeat(fd, server->repeated);
+        server->was_closed = broken_response_repeat(fd, server->repeated);
     }
     close(fd);
     return NULL;
