--- a/src/http/http_syntax.c
+++ b/src/http/http_syntax.c
@@ -141,8 +141,8 @@
                : HTTP_SYNTAX_INVALID;
 }
 
-/* Check a byte outside bodies and the data of chunks.  A line that begins with a blank, which
- * once continued the one before it, has no valid name. */
+/* Check a byte outside bodies and the data of chunks.  A line that begins with
+ * a blank, which once continued the line before it, has no valid name. */
 static enum http_syntax_step
 http_syntax_step(http_syntax *s, char byte)
 {
--- a/src/http/http_syntax.h
+++ b/src/http/http_syntax.h
@@ -2,7 +2,8 @@
  * http_syntax: checks the bytes of the responses on a connection against the
  * grammar of HTTP/1.1 (RFC 9112) before http_parser gets them, which Debian
  * builds in its lenient mode.  It finds where heads, chunk sizes and trailers
- * end, but does not interpret them: the owner tells what follows.  Pure; all state is in the structure.
+ * end, but does not interpret them: the owner tells what follows.  Pure; all
+ * state is in the structure.
  */
 #ifndef LAV_HTTP_SYNTAX_H
 #define LAV_HTTP_SYNTAX_H
