--- a/src/net/msg.c
+++ b/src/net/msg.c
@@ -4,14 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "lav/correlation.h"
-
 #define MSG_ITEM_HEAD_SIZE_MAX 9 /* bytes of the head of a CBOR item */
 
-/* HTTP status of a call that is done; lower ones are interim. */
-#define MSG_STATUS_MIN 200
-#define MSG_STATUS_MAX 599
-
 enum msg_field_kind {
     MSG_U64,
     MSG_INT,
@@ -463,26 +457,6 @@
     return 0;
 }
 
-/* Whether a reply's status is one that ends an HTTP request, if it has one. */
-static bool
-msg_has_valid_status(const msg_reply *reply)
-{
-    return reply->outcome != OUTCOME_DONE ||
-           (reply->status >= MSG_STATUS_MIN &&
-            reply->status <= MSG_STATUS_MAX);
-}
-
-/* Whether a message is the reply to the attempt `nonce` with an intact body,
- * and can be relayed. */
-bool
-msg_is_reply_to(const msg *m, uint64_t nonce)
-{
-    return m->kind == MSG_REPLY && m->reply.nonce == nonce &&
-           correlation_checksum(m->reply.body.bytes, m->reply.body.length) ==
-               m->reply.checksum &&
-           msg_has_valid_status(&m->reply);
-}
-
 /* Free the body of a message; may be called again on a cleared one. */
 void
 msg_clear(msg *m)
--- a/tests/standin/broken_response.c
+++ b/tests/standin/broken_response.c
@@ -282,10 +282,10 @@
     int64_t end_us = clock_now_us() + BROKEN_RESPONSE_REPEAT_MAX_US;
     char piece[BROKEN_RESPONSE_PIECE_SIZE];
     size_t unit = strlen(repeated);
-    if (unit == 0 || unit > sizeof(piece)) {
+    size_t length = unit == 0 ? 0 : sizeof(piece) / unit * unit;
+    if (length == 0) {
         return false;
     }
-    size_t length = sizeof(piece) / unit * unit;
     for (size_t at = 0; at < length; at++) {
         piece[at] = repeated[at % unit];
     }
