review: case 9, a late heartbeat after a restart without the store

A node that knows no desired state believes a heartbeat of an instance whose DELETE was acknowledged before it was killed, and requests reach the instance 8 s later.

--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -573,6 +573,16 @@
     pthread_mutex_unlock(&rig.lock);
 }
 
+/* The store is back as it was. */
+void
+rig_store_back(void)
+{
+    pthread_mutex_lock(&rig.lock);
+    rig.away = false;
+    rig_note("the store is back, at revision %ld", rig.store.revision);
+    pthread_mutex_unlock(&rig.lock);
+}
+
 static void
 reset_connection(int fd)
 {
@@ -869,7 +879,7 @@
     serve_at(reserve_ports(node), node);
     snprintf(node->settings, sizeof(node->settings), "%s/%s.toml", rig_dir,
              name);
-    snprintf(node->log, sizeof(node->log), "%s/%s.log", rig_dir, node->name);
+    snprintf(node->log, sizeof(node->log), "%s/%s.log", rig_dir, name);
     return node;
 }
 
@@ -1070,6 +1080,13 @@
     return call_control(node, "PUT", body);
 }
 
+/* Send the instance's DELETE; the status. */
+int
+rig_leave(rig_node *node)
+{
+    return call_control(node, "DELETE", "");
+}
+
 static void *
 beat_all(void *payload)
 {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -80,6 +80,7 @@
 void rig_store_copy(void);
 void rig_store_away(void);
 void rig_store_return(void);
+void rig_store_back(void);
 long rig_store_revision(void);
 
 /* Nodes and instances. */
@@ -89,6 +90,7 @@
 void rig_signal_node(rig_node *node, int signal_number);
 bool rig_wait_exit(rig_node *node, int timeout_ms);
 int rig_beat(rig_node *node);
+int rig_leave(rig_node *node);
 bool rig_wait_ready(rig_node *node, int timeout_ms);
 bool rig_log_has(rig_node *node, const char *text);
 bool rig_wait_log(rig_node *node, const char *text, int timeout_ms);
