log: a response names the desired state that routed its request

What operators saw: a `served` line didn't say which version a request was routed by, so a request run as an older version allows couldn't be told from one that was routed before the change.

`served`, `target_failed` and `answer` have `routed_by` now; `answer` keeps `desired`, the version in force when the response was sent.

--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -146,6 +146,7 @@
     r->route = route->key;
     r->origin = n->service_hash;
     r->depth = downstream_is_internal(n->downstream, route->key) ? 1 : 0;
+    q->routed_by = runtime_config_version(n);
     q->attempts_left = route->attempts_max;
     q->resend_to = INSTANCE_NONE;
     g_strlcpy(q->service, routing_next_service(route), sizeof(q->service));
--- a/src/flow/frontend_log.c
+++ b/src/flow/frontend_log.c
@@ -58,18 +58,18 @@
     service_level_report limit =
         shedder_get_limit(n->shedder, q->r.route, n->l->now_us);
     int64_t time_left_us = routed ? q->r.deadline_us - n->l->now_us : 0;
-    log_event(LOG_INFO, "answer", q->r.id,
-              "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I,s:I,s:s*}",
-              "status", status, "reason", reason_name(reason), "service",
-              q->service, "waited_us",
-              (json_int_t)(n->l->now_us - q->r.arrived_us), "left_us",
-              (json_int_t)time_left_us, "attempts_left", q->attempts_left,
-              "moves", q->reroutes, "depth", q->r.depth, "last_node",
-              last == NULL ? "" : last->node, "begun_share", limit.level,
-              "held_back_by", instance_service_name(n->fleet, limit.service),
-              "level_age_us", (json_int_t)limit.age_us, "desired",
-              (json_int_t)runtime_config_version(n), "workspace",
-              frontend_log_workspace(q));
+    log_event(
+        LOG_INFO, "answer", q->r.id,
+        "{s:i,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:s,s:f,s:s,s:I,s:I,s:I,s:s*}",
+        "status", status, "reason", reason_name(reason), "service", q->service,
+        "waited_us", (json_int_t)(n->l->now_us - q->r.arrived_us), "left_us",
+        (json_int_t)time_left_us, "attempts_left", q->attempts_left, "moves",
+        q->reroutes, "depth", q->r.depth, "last_node",
+        last == NULL ? "" : last->node, "begun_share", limit.level,
+        "held_back_by", instance_service_name(n->fleet, limit.service),
+        "level_age_us", (json_int_t)limit.age_us, "desired",
+        (json_int_t)runtime_config_version(n), "routed_by",
+        (json_int_t)q->routed_by, "workspace", frontend_log_workspace(q));
 }
 
 /* Logs a request whose key was refused, with the desired state that decided
@@ -148,11 +148,12 @@
     }
     const instance_record *record = instance_get(q->n->fleet, q->last_member);
     log_event(LOG_INFO, event, q->r.id,
-              "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i,s:s*}", "status", q->status,
-              "service", q->service, "node",
+              "{s:i,s:s,s:s,s:s,s:I,s:i,s:i,s:i,s:I,s:s*}", "status",
+              q->status, "service", q->service, "node",
               record == NULL ? "" : record->node, "instance",
               record == NULL ? "" : record->instance, "took_us",
               (json_int_t)(q->n->l->now_us - q->r.arrived_us), "attempts_left",
               q->attempts_left, "moves", q->reroutes, "depth", q->r.depth,
-              "workspace", frontend_log_workspace(q));
+              "routed_by", (json_int_t)q->routed_by, "workspace",
+              frontend_log_workspace(q));
 }
--- a/src/flow/frontend_private.h
+++ b/src/flow/frontend_private.h
@@ -51,6 +51,7 @@
     attempt_request r;
     frontend_identity identity;
     usage_gate_request usage;
+    uint64_t routed_by; /* version of the desired state; 0: not routed */
     char service[SVC_NAME_SIZE];
     instance_query query;
     frontend_attempt attempt;
