tests: the store is restored from a copy

What callers saw: after a restore of the platform's store, changes of the desired state stay out of force and requests are run as an older version allows; instances whose entries the copy lacks get no requests.

The rows vary how the store goes away, how many writes the copy lacks and whether they are written again.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -68,6 +68,9 @@
                            const char *text);
 void harness_store_put_raw_spec(const char *kind, const char *name,
                                 const char *text);
+void harness_store_copy(void);
+void harness_store_restore(void);
+void harness_store_name_era(bool named);
 bool harness_store_contains(const char *kind, const char *name);
 bool harness_store_spec_contains(const char *kind, const char *name,
                                  const char *text);
--- a/tests/integration/harness_objects.c
+++ b/tests/integration/harness_objects.c
@@ -29,6 +29,77 @@
 static long harness_dropped_revision; /* events up to it were dropped; a watch
                                        * from before gets 410 */
 
+/* What a restore brings back. */
+static harness_object harness_copy_objects[HARNESS_OBJECTS_MAX];
+static long harness_copy_revision; /* 0: there is no copy */
+static int harness_era;            /* rises with each restore */
+static bool harness_era_named;     /* responses name the era */
+
+/* Drop the copy of the objects. */
+static void
+harness_drop_copy(void)
+{
+    for (int i = 0; i < HARNESS_OBJECTS_MAX; i++) {
+        json_decref(harness_copy_objects[i].object);
+        harness_copy_objects[i].object = NULL;
+    }
+    harness_copy_revision = 0;
+}
+
+/* Keep a copy of the store as it is now, for harness_store_restore(). */
+void
+harness_store_copy(void)
+{
+    pthread_mutex_lock(&harness_lock);
+    harness_drop_copy();
+    for (int i = 0; i < HARNESS_OBJECTS_MAX; i++) {
+        harness_copy_objects[i] = harness_objects[i];
+        json_incref(harness_copy_objects[i].object);
+    }
+    harness_copy_revision = harness_revision;
+    pthread_mutex_unlock(&harness_lock);
+}
+
+/* Go back to the copy: later changes are lost, and their revisions will be
+ * given out again. */
+void
+harness_store_restore(void)
+{
+    pthread_mutex_lock(&harness_lock);
+    for (int i = 0; i < HARNESS_OBJECTS_MAX; i++) {
+        json_decref(harness_objects[i].object);
+        harness_objects[i] = harness_copy_objects[i];
+        json_incref(harness_objects[i].object);
+    }
+    while (harness_event_count > 0 &&
+           harness_events[harness_event_count - 1].revision >
+               harness_copy_revision) {
+        json_decref(harness_events[--harness_event_count].event);
+    }
+    harness_revision = harness_copy_revision;
+    harness_era++;
+    pthread_mutex_unlock(&harness_lock);
+}
+
+/* Set whether responses name the era; they do from the start. */
+void
+harness_store_name_era(bool named)
+{
+    pthread_mutex_lock(&harness_lock);
+    harness_era_named = named;
+    pthread_mutex_unlock(&harness_lock);
+}
+
+/* Write the header line of the era; empty if it isn't named. */
+void
+harness_format_era(char *out, size_t size)
+{
+    out[0] = '\0';
+    if (harness_era_named) {
+        snprintf(out, size, "Store-Era: %d\r\n", harness_era);
+    }
+}
+
 /* Drop all objects and events; revisions continue from the last one. */
 void
 harness_objects_reset(void)
@@ -41,6 +112,9 @@
         json_decref(harness_events[i].event);
     }
     harness_event_count = 0;
+    harness_drop_copy();
+    harness_era = 0;
+    harness_era_named = true;
     if (harness_raw_texts == NULL) {
         harness_raw_texts = g_ptr_array_new_with_free_func(g_free);
     }
@@ -294,9 +368,9 @@
                      (json_int_t)revision);
 }
 
-/* Whether the events after a revision are known. */
+/* Whether the store has a revision and the events after it. */
 bool
 harness_has_history(long after)
 {
-    return after >= harness_dropped_revision;
+    return after >= harness_dropped_revision && after <= harness_revision;
 }
--- a/tests/integration/harness_objects.h
+++ b/tests/integration/harness_objects.h
@@ -25,6 +25,7 @@
 json_t *harness_list_objects(const char *kind);
 json_t *harness_list_events(const char *kind, long after, int64_t until_us);
 bool harness_has_history(long after);
+void harness_format_era(char *out, size_t size);
 char *harness_insert_raw_texts(char *response);
 
 #endif
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -12,6 +12,13 @@
 #define HARNESS_WATCH_POLLS 200
 #define HARNESS_WATCH_POLL_MS 10
 
+/* A response to a request. */
+typedef struct harness_answer {
+    int status;
+    json_t *body; /* NULL: empty */
+    char era[32]; /* header line, or empty */
+} harness_answer;
+
 static int harness_store_writes;
 static int harness_store_reads;
 static enum harness_store_mode harness_current_store_mode;
@@ -56,28 +63,30 @@
 }
 
 /* Wait up to 2 s for an event of a kind after a revision; ends early when the
- * store becomes unavailable. */
-static json_t *
-harness_wait_events(const char *kind, long after, bool stale)
+ * store becomes unavailable or doesn't have the revision. */
+static void
+harness_wait_events(harness_answer *out, const char *kind, long after,
+                    bool stale)
 {
-    json_t *response = NULL;
     int waiting = harness_add_waiting(kind);
     for (int i = 0; i < HARNESS_WATCH_POLLS; i++) {
-        json_decref(response);
+        json_decref(out->body);
         pthread_mutex_lock(&harness_lock);
         int64_t age_us = stale ? harness_stale_age_us() : 0;
-        response = harness_list_events(kind, after, clock_now_us() - age_us);
+        out->body = harness_list_events(kind, after, clock_now_us() - age_us);
+        out->status = harness_has_history(after) ? 200 : 410;
+        harness_format_era(out->era, sizeof(out->era));
         bool up = harness_current_store_mode == HARNESS_STORE_UP ||
                   harness_current_store_mode == HARNESS_STORE_LOSES_REPLY ||
                   harness_current_store_mode == HARNESS_STORE_MIXES_UP;
         pthread_mutex_unlock(&harness_lock);
-        if (json_array_size(json_object_get(response, "events")) > 0 || !up) {
+        if (json_array_size(json_object_get(out->body, "events")) > 0 || !up ||
+            out->status != 200) {
             break;
         }
         harness_sleep_ms(HARNESS_WATCH_POLL_MS);
     }
     harness_remove_waiting(waiting);
-    return response;
 }
 
 /* Handle a POST or PUT.  Returns the status: 409 when the object exists (POST)
@@ -140,10 +149,10 @@
     return 200;
 }
 
-/* Handle a request in HARNESS_STORE_UP mode.  Returns the status and puts the
- * body of the response into `out`. */
-static int
-harness_handle_store_request(json_t **out, const harness_request *request)
+/* Handle a request in HARNESS_STORE_UP mode. */
+static void
+harness_handle_store_request(harness_answer *out,
+                             const harness_request *request)
 {
     char kind[32] = "";
     char name[64] = "";
@@ -152,22 +161,23 @@
     if (strcmp(request->method, "GET") == 0 && watch != NULL) {
         long after = strtol(watch + strlen("watch="), NULL, 10);
         bool stale = strstr(request->path, "stale_ok=1") != NULL;
-        *out = harness_wait_events(kind, after, stale);
-        return harness_has_history(after) ? 200 : 410;
+        harness_wait_events(out, kind, after, stale);
+        return;
     }
-    int status = 200;
     pthread_mutex_lock(&harness_lock);
+    out->status = 200;
     if (strcmp(request->method, "GET") == 0) {
-        *out = harness_list_objects(kind);
+        out->body = harness_list_objects(kind);
     }
     else if (strcmp(request->method, "DELETE") == 0) {
-        status = harness_delete_object(out, request->path, kind, name);
+        out->status =
+            harness_delete_object(&out->body, request->path, kind, name);
     }
     else {
-        status = harness_write_object(out, request, kind, name);
+        out->status = harness_write_object(&out->body, request, kind, name);
     }
+    harness_format_era(out->era, sizeof(out->era));
     pthread_mutex_unlock(&harness_lock);
-    return status;
 }
 
 /* Count a request that arrives, whether it is answered or not. */
@@ -199,29 +209,32 @@
         if (mode == HARNESS_STORE_HANGS) {
             continue;
         }
-        json_t *response = NULL;
-        int status = mode == HARNESS_STORE_UNAVAILABLE ? 503 : 0;
-        if (mode == HARNESS_STORE_MIXES_UP &&
-            strcmp(request.method, "GET") != 0) {
-            status = 200;
-            response = json_pack("{s:[],s:i}", "events", "current_rev", 1);
+        harness_answer answer = {0};
+        if (mode == HARNESS_STORE_UNAVAILABLE) {
+            answer.status = 503;
+        }
+        else if (mode == HARNESS_STORE_MIXES_UP &&
+                 strcmp(request.method, "GET") != 0) {
+            answer.status = 200;
+            answer.body = json_pack("{s:[],s:i}", "events", "current_rev", 1);
         }
-        if (status == 0) {
-            status = harness_handle_store_request(&response, &request);
+        else {
+            harness_handle_store_request(&answer, &request);
         }
         if (mode == HARNESS_STORE_LOSES_REPLY &&
             strcmp(request.method, "GET") != 0) {
-            json_decref(response);
+            json_decref(answer.body);
             break; /* applied; closing without a response */
         }
+        char headers[128];
+        snprintf(headers, sizeof(headers),
+                 "Content-Type: application/json\r\n%s", answer.era);
         char *text = harness_insert_raw_texts(
-            response == NULL ? strdup("{}")
-                             : json_dumps(response, JSON_ENCODE_ANY));
-        harness_write_response(fd, status,
-                               "Content-Type: application/json\r\n", text,
-                               strlen(text));
+            answer.body == NULL ? strdup("{}")
+                                : json_dumps(answer.body, JSON_ENCODE_ANY));
+        harness_write_response(fd, answer.status, headers, text, strlen(text));
         free(text);
-        json_decref(response);
+        json_decref(answer.body);
     }
     free(request.body);
 }
--- /dev/null
+++ b/tests/integration/restore_entries_test.c
@@ -0,0 +1,171 @@
+/* The nodes' entries when the store is restored from a copy. */
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "mesh.h"
+
+#define CALLS 40
+#define CALL_GAP_MS 25
+
+static const char *const services[] = {"near", "far", "far"};
+
+/* Start the deployment with a copy from before the nodes wrote their
+ * entries. */
+static void
+start_with_early_copy(void)
+{
+    harness_start(MESH_NODES, services);
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_publish_desired(1, ROUTES);
+    harness_store_copy();
+    harness_set_store_mode(HARNESS_STORE_UP);
+    for (int i = 0; i < MESH_NODES; i++) {
+        cr_assert(harness_wait_ready(i));
+        cr_assert(
+            HARNESS_WAIT_FOR(harness_send_heartbeat(i, "ready", 0) == 200));
+    }
+    for (int i = 1; i < MESH_NODES; i++) {
+        cr_assert(mesh_reach_target(i, "start"), "node %d", i);
+    }
+}
+
+/* Take the store away and bring it back from its copy. */
+static void
+restore_store(bool away)
+{
+    if (away) {
+        harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+        for (int i = 0; i < MESH_NODES; i++) {
+            cr_assert(
+                HARNESS_WAIT_FOR(harness_log_contains(i, "\"store_lost\"")));
+        }
+    }
+    harness_store_restore();
+    harness_set_store_mode(HARNESS_STORE_UP);
+}
+
+/* The name of a node in its entry. */
+static const char *
+node_name(int node)
+{
+    static char name[32];
+    snprintf(name, sizeof(name), "node%d", node);
+    return name;
+}
+
+/* Send calls to service "far" by node 0.  Returns how many got no 200. */
+static int
+count_failed_calls(const char *prefix)
+{
+    int failed = 0;
+    for (int i = 0; i < CALLS; i++) {
+        char id[32];
+        harness_response response;
+        snprintf(id, sizeof(id), "%s-%d", prefix, i);
+        harness_call(&response, 0, "POST", "/n/ok", id, "", 0);
+        failed += response.status != 200;
+        harness_free_response(&response);
+        harness_sleep_ms(CALL_GAP_MS);
+    }
+    return failed;
+}
+
+/* The copy lacks all entries: each node writes its own again, and until then
+ * the others go on with what they know. */
+Test(restore, entries_that_the_copy_lacks, .fini = harness_stop, .timeout = 60)
+{
+    static const bool away_cases[] = {true, false};
+    for (size_t i = 0; i < COUNT(away_cases); i++) {
+        start_with_early_copy();
+        restore_store(away_cases[i]);
+        int failed = count_failed_calls("lacks");
+        cr_expect_eq(failed, 0, "away %d: %d", away_cases[i], failed);
+        for (int node = 0; node < MESH_NODES; node++) {
+            cr_expect(HARNESS_WAIT_FOR(
+                          harness_store_contains("lavnodes", node_name(node))),
+                      "away %d: node %d", away_cases[i], node);
+        }
+        harness_stop();
+    }
+}
+
+/* The copy holds an entry from before the instance was replaced. */
+Test(restore, entries_older_than_their_nodes_know, .fini = harness_stop,
+     .timeout = 60)
+{
+    mesh_start();
+    harness_store_copy();
+    harness_replace_instance(1, "i-next");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_assert(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "i-next")));
+    restore_store(true);
+    cr_expect(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "i-next")));
+    cr_expect(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("next") > 0));
+}
+
+/* The revision of the entry in the copy is given out to another object: the
+ * entry must be written and withdrawn all the same. */
+Test(restore, entries_of_nodes_that_leave_after_it, .fini = harness_stop,
+     .timeout = 60)
+{
+    mesh_start();
+    harness_store_copy();
+    harness_replace_instance(1, "i-next");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_assert(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "i-next")));
+    restore_store(true);
+    cr_assert(HARNESS_WAIT_FOR(
+        harness_store_spec_contains("lavnodes", "node1", "i-next")));
+    cr_assert_eq(harness_deregister_target(1), 200);
+    harness_set_target_refusing(1, true);
+    harness_signal_node(1, SIGTERM);
+    cr_expect(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
+    cr_expect_eq(harness_wait_node_exit(1), 0);
+}
+
+/* The copy brings back the entry of a node that has ended. */
+Test(restore, entries_of_nodes_that_have_ended, .fini = harness_stop,
+     .timeout = 60)
+{
+    mesh_start();
+    harness_store_copy();
+    cr_assert_eq(harness_deregister_target(2), 200);
+    harness_set_target_refusing(2, true);
+    harness_signal_node(2, SIGTERM);
+    cr_assert_neq(harness_wait_node_exit(2), -1);
+    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node2")));
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "\"store_lost\"")));
+    harness_store_restore();
+    harness_set_store_mode(HARNESS_STORE_UP);
+    int failed = count_failed_calls("ended");
+    cr_expect_eq(failed, 0, "%d", failed);
+}
+
+/* A node whose entry the copy lacks and that doesn't write it again is taken
+ * for gone after a while. */
+Test(restore, entries_that_are_not_written_again, .fini = harness_stop,
+     .timeout = 60)
+{
+    harness_start(MESH_NODES, services);
+    harness_publish_desired(1, ROUTES);
+    for (int i = 0; i < 2; i++) {
+        cr_assert(harness_wait_ready(i));
+        cr_assert(
+            HARNESS_WAIT_FOR(harness_send_heartbeat(i, "ready", 0) == 200));
+    }
+    harness_store_copy();
+    harness_store_put("lavnodes", "other",
+                      "{\"node\":\"other\",\"service\":\"far\",\"zone\":"
+                      "\"z0\",\"target\":\"i-other\",\"started_ms\":1000,"
+                      "\"incarnation\":5,\"sequence\":5,\"peer\":"
+                      "\"127.0.0.1:9\",\"state\":\"draining\",\"slots\":4}");
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
+    restore_store(true);
+    cr_expect(HARNESS_WAIT_FOR(
+        harness_log_contains(0, "node other: entry was deleted")));
+}
