--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -6,9 +6,13 @@
 static atomic_ullong counter_events[COUNTER_COUNT];
 
 static const char *const counter_names[COUNTER_COUNT] = {
-    "calls_in",     "attempts",       "dispatched",      "done",
-    "not_run",      "unknown",        "cancels",         "gossip_sent",
-    "gossip_bytes", "platform_reads", "platform_writes", "platform_failed",
+    "calls_in",          "attempts",
+    "dispatched",        "done",
+    "not_run",           "unknown",
+    "cancels",           "gossip_sent",
+    "gossip_bytes",      "platform_reads",
+    "platform_writes",   "platform_failed",
+    "platform_restored", "platform_outdated",
     "stale_config"};
 
 /* Increment the counter of a reason (a refusal, retry or unknown outcome). */
