--- a/tests/integration/mesh_observability_test.c
+++ b/tests/integration/mesh_observability_test.c
@@ -162,6 +162,7 @@
     {"store_lost", false, {"kind", "how", "status", "revision", "era"}},
     {"store_regained", false, {"kind", "revision", "era"}},
     {"store_restored", false, {"era", "was"}},
+    {"own_entry_checked", false, {"listed", "outdated"}},
     {"store_outdated", false, {"era", "present"}},
     {"member_lost", false, {"node", "instance"}},
     {"member_found", false, {"node", "instance"}},
