platform_watch: objects that a restored store lacks are kept for 5 s

What callers saw: after a restore that lost the nodes' entries, requests were refused, as no instance was known, until each node had written its own again.

Cause: a complete list without an object means that it was removed. The first list after a restore also lacks what was written since the copy was made, by writers that live and will write it again.

After a restore a name that the list lacks is missing, not removed; it is removed if it wasn't seen within 5 s, over twice what the users' page gives writers to notice. `objects_missing` logs how many.

--- a/tests/integration/mesh_observability_test.c
+++ b/tests/integration/mesh_observability_test.c
@@ -162,6 +162,7 @@
     {"store_lost", false, {"kind", "how", "status", "revision", "era"}},
     {"store_regained", false, {"kind", "revision", "era"}},
     {"store_restored", false, {"era", "was"}},
+    {"objects_missing", false, {"kind", "count", "era"}},
     {"own_entry_checked", false, {"listed", "outdated"}},
     {"store_outdated", false, {"era", "present"}},
     {"member_lost", false, {"node", "instance"}},
