soak: the store goes back to a copy (--restores)

One fault of four is a restore: a copy is taken, and 0.5 to 2.5 s later the store is away for 0.3 s and comes back from it; the operator writes the desired state again and the next one, and other writers bring the revisions up to those that were lost. A seed ends with one whose changes get revisions that were given out before. Seeds without the option keep their faults.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -30,9 +30,10 @@
     int seed;
     int nodes;
     int seconds;
-    int callers;  /* for each node */
-    bool planned; /* planned work only: then no request may be cut */
-    bool clocks;  /* nodes' times of day jump as well */
+    int callers;   /* for each node */
+    bool planned;  /* planned work only: then no request may be cut */
+    bool clocks;   /* nodes' times of day jump as well */
+    bool restores; /* the store goes back to a copy as well */
     bool
         workspaces; /* callers bear keys, of which each version withdraws one */
     bool
@@ -114,6 +115,7 @@
                enum soak_key key);
 void soak_inject_faults(soak_run *s);
 void soak_publish_desired(soak_run *s);
+void soak_write_desired(soak_run *s);
 void soak_check(soak_run *s);
 void soak_check_over_cap(soak_run *s, const char *id,
                          const harness_response *answer, enum soak_key key);
--- a/tests/soak/soak_check.c
+++ b/tests/soak/soak_check.c
@@ -9,12 +9,11 @@
 
 #define SOAK_PROBES 10 /* requests in a row that must succeed again */
 
-/* Operators move one route between the services, drop another, and give a
- * workspace another key. */
+/* Write the present version of the desired state. */
 void
-soak_publish_desired(soak_run *s)
+soak_write_desired(soak_run *s)
 {
-    int version = atomic_fetch_add(&s->version, 1) + 1;
+    int version = atomic_load(&s->version);
     char routes[2048];
     snprintf(
         routes, sizeof(routes),
@@ -35,6 +34,15 @@
                                s->opts.workspaces ? workspaces : NULL);
 }
 
+/* Operators move one route between the services, drop another, and give a
+ * workspace another key. */
+void
+soak_publish_desired(soak_run *s)
+{
+    atomic_fetch_add(&s->version, 1);
+    soak_write_desired(s);
+}
+
 /* Sends a request on a connection of its own; its status. */
 int
 soak_probe(const soak_run *s, int node, const char *path, const char *id,
--- a/tests/soak/soak_fault.c
+++ b/tests/soak/soak_fault.c
@@ -10,6 +10,10 @@
 #define SOAK_ACTIVE_MAX 6        /* faults at a time */
 #define SOAK_GAP_MS 250          /* between two beginnings, on average */
 #define SOAK_JUMPS_OF 3          /* one fault of so many is a jump */
+#define SOAK_RESTORES_OF 4       /* one fault of so many is a restore */
+#define SOAK_AWAY_MS 300         /* of the store before it is restored */
+#define SOAK_OTHER_WRITES 20     /* of other kinds after a restore */
+#define SOAK_READ_MS 500         /* until all nodes have read a change */
 #define SOAK_JUMP_MS 3600000     /* 1 h, either way, of the time of day */
 #define SOAK_FAULTY_PERMILLE 300 /* of the requests, at faulty targets */
 
@@ -220,6 +224,33 @@
     harness_set_clock_offset(f->node, f->jump_ms);
 }
 
+/* Takes the copy that the store goes back to at the end. */
+static void
+soak_restore(soak_run *s, soak_fault *f)
+{
+    (void)s;
+    (void)f;
+    harness_store_copy();
+}
+
+/* The store is away for a moment and comes back from its copy.  The operator
+ * writes the desired state again, and the next one; others write theirs, so
+ * that the revisions that were lost exist again. */
+static void
+soak_restore_end(soak_run *s, soak_fault *f)
+{
+    (void)f;
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_sleep_ms(SOAK_AWAY_MS);
+    harness_store_restore();
+    soak_write_desired(s);
+    soak_publish_desired(s);
+    for (int i = 0; i < SOAK_OTHER_WRITES; i++) {
+        harness_store_put("others", "one", "{}");
+    }
+    harness_set_store_mode(HARNESS_STORE_UP);
+}
+
 static const soak_fault_kind soak_fault_kinds[] = {
     {"stop", true, 5000, 6000, soak_stop, soak_stopped, 0},
     {"settings", true, 50, 100, soak_hup, soak_nothing, 0},
@@ -253,10 +284,18 @@
      HARNESS_STORE_HANGS},
     {"store's answers lost", false, 500, 4000, soak_store, soak_store_end,
      HARNESS_STORE_LOSES_REPLY},
-    /* Last, as seeds played without it keep their faults. */
+    /* Last, as seeds played without them keep their faults. */
+    {"store restored", false, 500, 2500, soak_restore, soak_restore_end, 0},
     {"clock jumps", true, 50, 100, soak_clock, soak_nothing, 0},
 };
 
+/* Whether a fault acts on the store itself. */
+static bool
+soak_is_store_fault(const soak_fault_kind *kind)
+{
+    return kind->start == soak_store || kind->start == soak_restore;
+}
+
 /* Whether two faults would undo each other: the same thing, or one that ends
  * a process while another one acts on it. */
 static bool
@@ -264,7 +303,7 @@
 {
     bool same_node = a->node == b->node;
     bool both_store =
-        a->kind->start == soak_store && b->kind->start == soak_store;
+        soak_is_store_fault(a->kind) && soak_is_store_fault(b->kind);
     bool both_targets =
         a->kind->start == soak_targets && b->kind->start == soak_targets;
     return same_node || both_store || both_targets;
@@ -282,13 +321,17 @@
 soak_begin(soak_run *s, soak_fault *active, int *count, GRand *random)
 {
     soak_fault f = {0};
-    /* The last kind, the clocks, only where they are to jump, and then often:
-     * it matters together with others. */
-    int others = G_N_ELEMENTS(soak_fault_kinds) - 1;
+    /* The last two kinds, restores and clocks, only where they are asked for,
+     * and then often: they matter together with others. */
+    int others = G_N_ELEMENTS(soak_fault_kinds) - 2;
     do {
         bool jump =
             s->opts.clocks && g_rand_int_range(random, 0, SOAK_JUMPS_OF) == 0;
-        int kind = jump ? others : g_rand_int_range(random, 0, others);
+        bool restore = s->opts.restores && !jump &&
+                       g_rand_int_range(random, 0, SOAK_RESTORES_OF) == 0;
+        int kind = jump      ? others + 1
+                   : restore ? others
+                             : g_rand_int_range(random, 0, others);
         f.kind = &soak_fault_kinds[kind];
     } while (s->opts.planned && !f.kind->planned);
     bool proxied =
@@ -334,6 +377,19 @@
     }
 }
 
+/* The last changes get revisions that were given out before the restore. */
+static void
+soak_end_with_restore(soak_run *s)
+{
+    soak_fault f = {0};
+    soak_restore(s, &f);
+    soak_publish_desired(s);
+    soak_publish_desired(s);
+    harness_sleep_ms(SOAK_READ_MS);
+    soak_restore_end(s, &f);
+    soak_count(s, "store restored");
+}
+
 /* Inject faults for as long as the options say; all are over at the end. */
 void
 soak_inject_faults(soak_run *s)
@@ -356,5 +412,8 @@
         harness_sleep_ms(SOAK_STEP_MS);
     }
     soak_end_due(s, active, &count, INT64_MAX);
+    if (s->opts.restores) {
+        soak_end_with_restore(s);
+    }
     g_rand_free(random);
 }
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -18,6 +18,7 @@
 static int soak_callers = 2;
 static gboolean soak_planned;
 static gboolean soak_clocks;
+static gboolean soak_restores;
 static gboolean soak_timed;
 static gboolean soak_verbose;
 
@@ -32,6 +33,8 @@
      "Planned work only; every fourth seed is so anyway", NULL},
     {"clocks", 0, 0, G_OPTION_ARG_NONE, &soak_clocks,
      "Let nodes' times of day jump as well", NULL},
+    {"restores", 0, 0, G_OPTION_ARG_NONE, &soak_restores,
+     "Let the store go back to a copy as well", NULL},
     {"timed", 0, 0, G_OPTION_ARG_NONE, &soak_timed,
      "Hold answers to their time, on a quiet machine", NULL},
     {"verbose", 0, 0, G_OPTION_ARG_NONE, &soak_verbose, "Faults by kind",
@@ -177,6 +180,7 @@
                              .callers = soak_callers,
                              .planned = soak_planned || seed % 4 == 0,
                              .clocks = soak_clocks,
+                             .restores = soak_restores,
                              .workspaces = seed % 2 == 0,
                              .founded = seed % 8 >= 4,
                              .check_timing = soak_timed};
