--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -212,6 +212,9 @@
         harness_answer answer = {0};
         if (mode == HARNESS_STORE_UNAVAILABLE) {
             answer.status = 503;
+            pthread_mutex_lock(&harness_lock);
+            harness_format_era(answer.era, sizeof(answer.era));
+            pthread_mutex_unlock(&harness_lock);
         }
         else if (mode == HARNESS_STORE_MIXES_UP &&
                  strcmp(request.method, "GET") != 0) {
--- a/tests/integration/restore_entries_test.c
+++ b/tests/integration/restore_entries_test.c
@@ -169,3 +169,28 @@
     cr_expect(HARNESS_WAIT_FOR(
         harness_log_contains(0, "node other: entry was deleted")));
 }
+
+/* A node that starts during the outage has heard the era before the restore,
+ * and its target isn't adopted yet when it reads its entry: the entry of its
+ * earlier start was deleted. */
+Test(restore, entries_of_nodes_that_start_before_it, .fini = harness_stop,
+     .timeout = 60)
+{
+    mesh_start();
+    harness_store_copy();
+    harness_signal_node(1, SIGKILL);
+    cr_assert_neq(harness_wait_node_exit(1), -1);
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_start_node(1);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "\"store_lost\"")));
+    harness_store_restore();
+    harness_set_store_mode(HARNESS_STORE_UP);
+    cr_assert(
+        HARNESS_WAIT_FOR(harness_log_contains(1, "\"own_entry_checked\"")));
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "\"target_adopted\"")));
+    cr_expect(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("adopted") > 0));
+    cr_expect(harness_log_contains(1, "\"listed\":true"));
+    cr_expect_not(harness_log_contains(1, "\"outdated\":true"));
+    cr_expect_not(harness_log_contains(0, "node node1: entry was deleted"));
+    cr_expect_not(harness_log_contains(2, "node node1: entry was deleted"));
+}
