flow: numbers in fields are bounded before they are multiplied

What callers saw: a request with a deadline over 9.2e15 ms got 504 at once, and a target that states a Keep-Alive of over 9.2e12 s had each of its connections closed after a response.

Cause: seconds and milliseconds were multiplied to microseconds without a bound; the product wrapped round to a negative number.

Evidence: mesh_numbers, 2 of 2 tests failed before (Keep-Alive in 4 of 7 rows) and pass.

--- a/src/flow/frontend.c
+++ b/src/flow/frontend.c
@@ -13,6 +13,8 @@
 #include "lav/log.h"
 #include "lav/retry_after.h"
 
+/* The most that can be given in microseconds. */
+#define FRONTEND_TIME_LEFT_MAX_MS (INT64_MAX / CLOCK_US_PER_MS)
 #define FRONTEND_NUMBER_SIZE                                                  \
     24 /* bytes of a number in a field, with the NUL */
 
@@ -83,7 +85,7 @@
     }
     char *end = NULL;
     long long left_ms = strtoll(text, &end, 10);
-    return *end == '\0' && left_ms > 0 ? left_ms : 0;
+    return *end == '\0' ? CLAMP(left_ms, 0, FRONTEND_TIME_LEFT_MAX_MS) : 0;
 }
 
 /* Validates a request head and looks up its route.  Returns 0, or the status
--- a/src/flow/local_target_http.c
+++ b/src/flow/local_target_http.c
@@ -68,11 +68,11 @@
         return LOCAL_TARGET_KEEP_ALIVE_MAX_US;
     }
     int64_t stated_s = strtol(timeout + strlen("timeout="), NULL, 10);
-    int64_t keep_alive_us =
-        stated_s * CLOCK_US_PER_S - LOCAL_TARGET_KEEP_ALIVE_MARGIN_US;
-    return keep_alive_us < LOCAL_TARGET_KEEP_ALIVE_MAX_US
-               ? keep_alive_us
-               : LOCAL_TARGET_KEEP_ALIVE_MAX_US;
+    int64_t most_s =
+        (LOCAL_TARGET_KEEP_ALIVE_MAX_US + LOCAL_TARGET_KEEP_ALIVE_MARGIN_US) /
+        CLOCK_US_PER_S;
+    return CLAMP(stated_s, 0, most_s) * CLOCK_US_PER_S -
+           LOCAL_TARGET_KEEP_ALIVE_MARGIN_US;
 }
 
 /* Fails a call whose response cannot be trusted, and closes its connection. */
