http_conn: a peer that reads slowly isn't taken for a dead one

Cause: TCP_USER_TIMEOUT (1.5 s) on each client connection also ends those whose receive window stays closed, although the peer acknowledges every probe.

Fix: http_conn_silence looks at a client connection whose output has been pending for 0.4 s, and every 0.2 s after that (TCP_INFO). If the window holds output back, it switches the option off, has the kernel probe at least each second (TCP_RTO_MAX_MS) and ends the connection when the peer, asked, has been silent for 1.5 s. Else the option stays. Such a connection isn't kept: the kernel may count the time of one closed window to the next. The request's time and the grace time bound the wait as before.

Ruled out: a longer TCP_USER_TIMEOUT that grows with each answer; the kernel's count isn't visible, so it would be too short or make probes rare, and a node that stands still would end the connection.

Where the kernel knows no TCP_RTO_MAX_MS (before 6.15), probes become rare and a peer that dies with a closed window is noticed later the longer it was closed. Where TCP_INFO isn't answered the option stays, and so does the fault. Neither was run; the first is covered by the table of dead_peers only.

--- a/src/http/evloop.c
+++ b/src/http/evloop.c
@@ -38,7 +38,7 @@
     evloop_free_closed(l);
 }
 
-/* Fail the connections whose deadline has passed. */
+/* Fail the connections whose deadline has passed or whose peer is dead. */
 static void
 evloop_on_timeout_scan(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -55,6 +55,9 @@
             c->deadline_us = 0;
             http_conn_fail(c, HTTP_CONN_TIMEOUT);
         }
+        else if (http_conn_silence_check(c)) {
+            http_conn_reset(c);
+        }
         next = c->next; /* valid: a referenced connection stays listed */
         http_conn_unref(c);
     }
--- a/src/http/http_conn.c
+++ b/src/http/http_conn.c
@@ -339,6 +339,7 @@
             return;
         }
         bytebuf_consume(&c->out, (size_t)sent);
+        http_conn_silence_note_sent(c);
     }
     if (bytebuf_length(&c->out) == 0) {
         ev_io_stop(c->l->loop, &c->writable);
--- a/src/http/http_conn_open.c
+++ b/src/http/http_conn_open.c
@@ -7,9 +7,6 @@
 #include "http_conn_private.h"
 #include "lav/err.h"
 
-/* A connection is dead once sent data was unacknowledged for this long. */
-#define HTTP_CONN_UNACKED_TIMEOUT_MS 1500
-
 #define HTTP_CONN_KEEPALIVE_IDLE_S 1     /* before the first probe */
 #define HTTP_CONN_KEEPALIVE_PERIOD_S 1   /* between probes */
 #define HTTP_CONN_KEEPALIVE_PROBES_MAX 2 /* unanswered ones before it fails */
--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -229,6 +229,7 @@
 {
     if (c->parser.type == HTTP_RESPONSE) {
         c->response_pending = false;
+        http_conn_silence_note_answered(c);
         c->not_reusable = c->not_reusable || length > 0;
     }
     else {
--- a/src/http/http_conn_private.h
+++ b/src/http/http_conn_private.h
@@ -8,6 +8,7 @@
 #include <http_parser.h>
 
 #include "http_conn.h"
+#include "http_conn_silence.h"
 #include "http_syntax.h"
 
 /* The part of a header field that was parsed last. */
@@ -43,6 +44,7 @@
     size_t head_bytes_max;       /* 0: no limit */
     size_t head_bytes;           /* of the current message so far */
     size_t unused_bytes;         /* received since a part was last passed on */
+    http_conn_silence silence;   /* client */
     enum http_conn_field_part field_part;
     http_parser parser;
     http_syntax syntax; /* client: of the bytes that go to the parser */
