tests: lost polls without a proxy; entries written again by their nodes

Two mutants were missed: without the check beside the poll, mesh_start/polls_that_fall_silent_at_the_start could pass, as a check of the desired state in the silent moment also found out; and without the write after the list, an entry was still written when its time as missing was over.

The stand-in of the store leaves the waiting polls of one kind unanswered, so no other check can notice, and the test doesn't depend on chance. restore/ entries_that_the_copy_lacks requires that each node found its entry missing by the list. Both checks are stricter than before.

--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -68,6 +68,7 @@
                            const char *text);
 void harness_store_put_raw_spec(const char *kind, const char *name,
                                 const char *text);
+void harness_store_lose_polls(const char *kind);
 void harness_store_copy(void);
 void harness_store_restore(void);
 void harness_store_name_era(bool named);
--- a/tests/integration/harness_store.c
+++ b/tests/integration/harness_store.c
@@ -9,6 +9,7 @@
 #include "harness_objects.h"
 #include "lav/clock.h"
 
+#define HARNESS_UNANSWERED 0 /* in place of a status */
 #define HARNESS_WATCH_POLLS 200
 #define HARNESS_WATCH_POLL_MS 10
 
@@ -22,6 +23,19 @@
 static int harness_store_writes;
 static int harness_store_reads;
 static enum harness_store_mode harness_current_store_mode;
+static char harness_lost_kind[32]; /* whose polls were lost last */
+static int harness_lost_polls;     /* how often polls were lost */
+
+/* The polls of a kind that wait now are never answered: their connections have
+ * fallen silent.  Later requests are answered. */
+void
+harness_store_lose_polls(const char *kind)
+{
+    pthread_mutex_lock(&harness_lock);
+    snprintf(harness_lost_kind, sizeof(harness_lost_kind), "%s", kind);
+    harness_lost_polls++;
+    pthread_mutex_unlock(&harness_lock);
+}
 
 /* Set how the store handles the requests that arrive from now on. */
 void
@@ -69,6 +83,9 @@
                     bool stale)
 {
     int waiting = harness_add_waiting(kind);
+    pthread_mutex_lock(&harness_lock);
+    int lost_before = harness_lost_polls;
+    pthread_mutex_unlock(&harness_lock);
     for (int i = 0; i < HARNESS_WATCH_POLLS; i++) {
         json_decref(out->body);
         pthread_mutex_lock(&harness_lock);
@@ -79,7 +96,13 @@
         bool up = harness_current_store_mode == HARNESS_STORE_UP ||
                   harness_current_store_mode == HARNESS_STORE_LOSES_REPLY ||
                   harness_current_store_mode == HARNESS_STORE_MIXES_UP;
+        bool lost = harness_lost_polls != lost_before &&
+                    strcmp(harness_lost_kind, kind) == 0;
         pthread_mutex_unlock(&harness_lock);
+        if (lost) {
+            out->status = HARNESS_UNANSWERED;
+            break;
+        }
         if (json_array_size(json_object_get(out->body, "events")) > 0 || !up ||
             out->status != 200) {
             break;
@@ -224,6 +247,10 @@
         else {
             harness_handle_store_request(&answer, &request);
         }
+        if (answer.status == HARNESS_UNANSWERED) {
+            json_decref(answer.body);
+            continue;
+        }
         if (mode == HARNESS_STORE_LOSES_REPLY &&
             strcmp(request.method, "GET") != 0) {
             json_decref(answer.body);
--- a/tests/integration/restore_entries_test.c
+++ b/tests/integration/restore_entries_test.c
@@ -85,6 +85,9 @@
             cr_expect(HARNESS_WAIT_FOR(
                           harness_store_contains("lavnodes", node_name(node))),
                       "away %d: node %d", away_cases[i], node);
+            cr_expect(HARNESS_WAIT_FOR(harness_log_contains(
+                          node, "\"listed\":false,\"outdated\":true")),
+                      "away %d: node %d", away_cases[i], node);
         }
         harness_stop();
     }
