target_queue: a leaving target's queue closes at the cutoff

Cause: only arrivals were checked against the cutoff (half of the drain time). What waited then was handed over for up to half of its objective more.

Change: target_queue_close() sets the time from which on nothing is dispatched and nothing taken. What waits then is refused as not run (draining), and so, before it, is what goes last and can't be expected to get a slot in time by the mean run time. The caller's node sends it elsewhere, as it does for arrivals after the cutoff. These refusals don't count as overload of the target (overload_count_expired()): it lacks time, not slots. Another start of the target reopens the queue. mixed_queue_pop_any(), which had no user, gave way to mixed_queue_pop_last().

--- a/include/lav/admission.h
+++ b/include/lav/admission.h
@@ -72,6 +72,7 @@
 bool admission_pop(int *out, admission_queue *queue, int64_t now_us);
 bool admission_pop_expired(admission_refusal *out, admission_queue *queue,
                            int64_t now_us);
+bool admission_pop_last(int *out, admission_queue *queue);
 bool admission_remove(admission_queue *queue, int handle);
 void admission_release_slot(admission_queue *queue, int64_t self_time_us,
                             int64_t now_us);
--- a/include/lav/mixed_queue.h
+++ b/include/lav/mixed_queue.h
@@ -75,7 +75,7 @@
                                     int64_t rate_wait_us, int64_t now_us);
 void mixed_queue_push(mixed_queue *queue, const mixed_queue_call *call);
 bool mixed_queue_pop(int *out, mixed_queue *queue, int64_t now_us);
-bool mixed_queue_pop_any(mixed_queue_call *out, mixed_queue *queue);
+bool mixed_queue_pop_last(int *out, mixed_queue *queue);
 bool mixed_queue_pop_expired(admission_refusal *out, mixed_queue *queue,
                              int64_t now_us);
 bool mixed_queue_remove(mixed_queue *queue, int handle);
--- a/include/lav/overload.h
+++ b/include/lav/overload.h
@@ -15,6 +15,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "lav/reason.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -72,6 +74,7 @@
 void overload_count_end(overload_meter *meter, double time_share);
 void overload_count_held_up(overload_meter *meter);
 void overload_count_lost(overload_meter *meter);
+void overload_count_expired(overload_meter *meter, enum reason reason);
 void overload_count_failed(overload_meter *meter);
 double overload_factor(overload_meter *meter, int running, int limit,
                        int waiting, double call_us, int64_t now_us);
--- a/include/lav/target_queue.h
+++ b/include/lav/target_queue.h
@@ -8,6 +8,10 @@
  *
  * Load pattern: an overloaded deep service that external callers use as well.
  * If internal requests went first, those callers would get no service.
+ *
+ * The queue of a target that leaves has a closing time, from which on no
+ * request is dispatched.  Requests that can't be dispatched before it are
+ * refused, so that they can be sent to another target.
  */
 #ifndef LAV_TARGET_QUEUE_H
 #define LAV_TARGET_QUEUE_H
@@ -47,6 +51,8 @@
 admission_result target_queue_decide(target_queue *queue,
                                      const target_queue_request *request,
                                      int64_t now_us);
+void target_queue_close(target_queue *queue, int64_t closes_us);
+void target_queue_reopen(target_queue *queue);
 bool target_queue_pop(int *out, target_queue *queue, int64_t now_us);
 bool target_queue_pop_expired(admission_refusal *out, target_queue *queue,
                               int64_t now_us);
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -357,6 +357,18 @@
     return false;
 }
 
+/* Remove the call to be served last; false if the queue is empty. */
+bool
+admission_pop_last(int *out, admission_queue *queue)
+{
+    int last = admission_find_extreme(queue, true);
+    if (last == ADMISSION_NONE) {
+        return false;
+    }
+    *out = admission_take_at(queue, last).handle;
+    return true;
+}
+
 /* Remove a call from the queue; false if it is not queued. */
 bool
 admission_remove(admission_queue *queue, int handle)
--- a/src/core/mixed_queue.c
+++ b/src/core/mixed_queue.c
@@ -211,14 +211,23 @@
     return true;
 }
 
-/* Removes any queued call; false if there is none. */
+/* Removes the call, of either kind, with the highest key; false if none
+ * waits. */
 bool
-mixed_queue_pop_any(mixed_queue_call *out, mixed_queue *queue)
+mixed_queue_pop_last(int *out, mixed_queue *queue)
 {
-    if (mixed_queue_queued_count(queue) == 0) {
+    int count = mixed_queue_queued_count(queue);
+    int last = 0;
+    if (count == 0) {
         return false;
     }
-    *out = mixed_queue_take_at(queue, 0);
+    for (int i = 1; i < count; i++) {
+        if (mixed_queue_key_us(&queue->calls[i]) >
+            mixed_queue_key_us(&queue->calls[last])) {
+            last = i;
+        }
+    }
+    *out = mixed_queue_take_at(queue, last).handle;
     return true;
 }
 
--- a/src/core/overload.c
+++ b/src/core/overload.c
@@ -37,6 +37,17 @@
     meter->lost++;
 }
 
+/* Counts a call that was removed from the queue.  One that a leaving target
+ * can't get in time is served elsewhere, and doesn't mean that there are too
+ * few slots. */
+void
+overload_count_expired(overload_meter *meter, enum reason reason)
+{
+    if (reason != REASON_DRAINING) {
+        overload_count_lost(meter);
+    }
+}
+
 /* Counts a call that ended as the target refused or failed it by itself; its
  * end is counted as well. */
 void
--- a/src/core/target_queue.c
+++ b/src/core/target_queue.c
@@ -16,6 +16,9 @@
                                                .queue_length =
                                                    TARGET_QUEUE_CALLS_MAX};
 
+/* Weight of one call in the moving average of run times. */
+#define TARGET_QUEUE_RUN_WEIGHT 0.1
+
 /* A call that waits or runs. */
 typedef struct target_queue_call {
     target_queue_request request;
@@ -26,8 +29,11 @@
 
 struct target_queue {
     bool is_mixed;
-    bool switched; /* and the queue that was in force still has calls */
-    int limit;     /* calls that may run at once */
+    bool switched;     /* and the queue that was in force still has calls */
+    bool closing;      /* the target leaves */
+    int64_t closes_us; /* if closing: nothing is dispatched from then on */
+    double run_us;     /* mean time of recent calls in the target; 0: none */
+    int limit;         /* calls that may run at once */
     admission_queue *admission; /* of calls that are queued alike */
     mixed_queue mixed;          /* of those that are not */
     rate_limit rate;            /* the same in the admission queue */
@@ -116,6 +122,55 @@
     }
 }
 
+/* Sets the time, on the monotonic clock, from which on no request is
+ * dispatched. */
+void
+target_queue_close(target_queue *queue, int64_t closes_us)
+{
+    queue->closing = true;
+    queue->closes_us = closes_us;
+}
+
+/* Removes the closing time: requests go to another start of the target. */
+void
+target_queue_reopen(target_queue *queue)
+{
+    queue->closing = false;
+}
+
+/* Whether requests are no longer dispatched. */
+static bool
+target_queue_is_closed(const target_queue *queue, int64_t now_us)
+{
+    return queue->closing && now_us >= queue->closes_us;
+}
+
+/* Whether more requests wait than are likely to be dispatched before the
+ * queue closes. */
+static bool
+target_queue_has_excess(const target_queue *queue, int64_t now_us)
+{
+    if (!queue->closing) {
+        return false;
+    }
+    if (target_queue_is_closed(queue, now_us)) {
+        return true;
+    }
+    double starts = (double)(queue->closes_us - now_us) * queue->limit;
+    return target_queue_queued_count(queue) * queue->run_us > starts;
+}
+
+/* Removes the request to be served last, after a switch one of the earlier
+ * queue; false if none waits. */
+static bool
+target_queue_pop_last(int *out, target_queue *queue)
+{
+    return queue->is_mixed ? admission_pop_last(out, queue->admission) ||
+                                 mixed_queue_pop_last(out, &queue->mixed)
+                           : mixed_queue_pop_last(out, &queue->mixed) ||
+                                 admission_pop_last(out, queue->admission);
+}
+
 /* Returns the call to pass to admission_decide().  All requests have the same
  * class and depth, so only the rank orders them. */
 static admission_call
@@ -175,6 +230,10 @@
     admission_result result;
     *call = (target_queue_call){*request, queue->is_mixed, now_us, now_us};
     target_queue_update(queue, now_us);
+    if (target_queue_is_closed(queue, now_us)) {
+        return (admission_result){ADMISSION_REFUSED, REASON_DRAINING,
+                                  ADMISSION_NONE};
+    }
     if (queue->is_mixed) {
         mixed_queue_call mixed =
             target_queue_make_mixed_call(queue, call, now_us);
@@ -191,12 +250,15 @@
 }
 
 /* Removes the next request and gives it a free slot; false if none waits or
- * may start. */
+ * may start, or if the queue is closed. */
 bool
 target_queue_pop(int *out, target_queue *queue, int64_t now_us)
 {
     bool found = false;
     target_queue_update(queue, now_us);
+    if (target_queue_is_closed(queue, now_us)) {
+        return false;
+    }
     if (queue->is_mixed || queue->switched) {
         found = rate_limit_is_open(&queue->rate, now_us) &&
                 mixed_queue_pop(out, &queue->mixed, now_us);
@@ -213,12 +275,18 @@
     return found;
 }
 
-/* Removes one request that has waited too long or can no longer end in time;
- * false if there is none. */
+/* Removes one request that has waited too long, can no longer end in time, or
+ * can't be expected to be dispatched before the queue closes
+ * (REASON_DRAINING); false if there is none. */
 bool
 target_queue_pop_expired(admission_refusal *out, target_queue *queue,
                          int64_t now_us)
 {
+    if (target_queue_has_excess(queue, now_us) &&
+        target_queue_pop_last(&out->handle, queue)) {
+        out->reason = REASON_DRAINING;
+        return true;
+    }
     if ((queue->is_mixed || queue->switched) &&
         mixed_queue_pop_expired(out, &queue->mixed, now_us)) {
         return true;
@@ -243,6 +311,12 @@
                       int64_t now_us)
 {
     const target_queue_call *call = &queue->calls[handle];
+    if (took_us > 0) {
+        queue->run_us +=
+            queue->run_us == 0
+                ? (double)took_us
+                : ((double)took_us - queue->run_us) * TARGET_QUEUE_RUN_WEIGHT;
+    }
     if (!call->mixed) {
         admission_release_slot(queue->admission, took_us, now_us);
         return;
--- a/src/flow/local_target.c
+++ b/src/flow/local_target.c
@@ -14,7 +14,8 @@
 
 static void local_target_dispatch_queued(local_target *t);
 
-/* Fails calls whose wait in the queue has expired. */
+/* Fails calls whose wait in the queue has expired, or that a leaving target
+ * can't get in time. */
 static void
 local_target_on_expiry(struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -23,7 +24,7 @@
     evloop_update_now(t->n->l);
     admission_refusal refusal;
     while (target_queue_pop_expired(&refusal, t->queue, t->n->l->now_us)) {
-        overload_count_lost(&t->overload);
+        overload_count_expired(&t->overload, refusal.reason);
         local_target_fail_call(t->calls[refusal.handle], OUTCOME_NOT_RUN,
                                refusal.reason, false);
     }
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -55,7 +55,7 @@
         orphans; /* calls dispatched by an earlier start of the node */
     departed_targets departed; /* targets that announced that they leave */
     bool draining;
-    int64_t drain_cutoff_us; /* no new calls from then on, while draining */
+    int64_t drain_cutoff_us; /* no calls from then on, while draining */
     bool down;               /* unreachable since the last heartbeat */
     double failure_rate;     /* of recent calls, 0 to 1 */
     double call_us;          /* mean time of recent calls in the target */
--- a/src/flow/local_target_state.c
+++ b/src/flow/local_target_state.c
@@ -44,16 +44,17 @@
     }
 }
 
-/* Begins to drain the target: it accepts new calls for a part of the drain
- * time that the platform allows.  A target that has not registered since this
- * start of the node may have begun to drain under an earlier start, so it
- * accepts no more calls. */
+/* Begins to drain the target: it gets calls, new or queued, for a part of the
+ * drain time that the platform allows.  A target that has not registered since
+ * this start of the node may have begun to drain under an earlier start, so it
+ * gets no more calls. */
 void
 local_target_begin_drain(local_target *t)
 {
     t->draining = true;
     t->drain_cutoff_us =
         t->registered ? runtime_drain_cutoff_us(t->n) : t->n->l->now_us;
+    target_queue_close(t->queue, t->drain_cutoff_us);
     log_event(LOG_INFO, "target_leaves", NULL, "{s:s,s:i,s:b}", "instance",
               t->instance, "running", target_queue_running_count(t->queue),
               "heard", t->registered);
@@ -72,6 +73,7 @@
     t->sequence = 0;
     t->registered = false;
     t->draining = false;
+    target_queue_reopen(t->queue);
     t->down = false;
     t->responded = false;
     target_queue_clear_rate(t->queue);
--- a/tests/integration/harness.h
+++ b/tests/integration/harness.h
@@ -81,6 +81,8 @@
 void harness_set_target_refusing(int node, bool refuse);
 void harness_set_target_health(int node, int status, const char *load);
 void harness_set_target_headers(int node, const char *lines);
+int harness_held_count(int node);
+void harness_release_held(int node);
 int harness_send_heartbeat(int node, const char *state, int sequence);
 int harness_send_heartbeat_body(int node, const char *instance,
                                 const char *text);
--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -74,6 +74,8 @@
 void harness_store_reset(void);
 void harness_target_reset(void);
 void harness_health_reset(void);
+void harness_held_reset(void);
+void harness_hold(int node);
 void harness_format_report_headers(char *out, size_t size, int node);
 void harness_serve_health(int fd, const char *name, int node);
 void harness_set_target_instance(int node, const char *instance);
--- a/tests/integration/harness_target.c
+++ b/tests/integration/harness_target.c
@@ -76,6 +76,7 @@
                                             harness_free_record);
     memset(harness_target_close_us, 0, sizeof(harness_target_close_us));
     harness_health_reset();
+    harness_held_reset();
     memset(harness_node_arrivals, 0, sizeof(harness_node_arrivals));
     harness_late_arrivals = 0;
     harness_total_arrivals = 0;
@@ -395,6 +396,25 @@
     return HARNESS_NOT_SERVED;
 }
 
+/* Handle a request in mode "held": it runs until the test releases it.  What
+ * the target then reports of itself is in its response. */
+static bool
+harness_serve_held(int fd, const harness_request *request, const char *id,
+                   int node)
+{
+    char headers[1024];
+    char report[HARNESS_REPORT_SIZE];
+    harness_update_record(id, request, node, 1);
+    harness_hold(node);
+    harness_format_report_headers(report, sizeof(report), node);
+    snprintf(headers, sizeof(headers),
+             "Lavenderfield-Attempt-Id: %s\r\n"
+             "Lavenderfield-Response-Seal: seal-of-%s\r\n%s",
+             id, id, report);
+    harness_write_response(fd, 200, headers, "held", strlen("held"));
+    return true;
+}
+
 /* Handle one request according to its mode.  Returns false when the connection
  * must be closed. */
 static bool
@@ -404,6 +424,9 @@
     char headers[1024];
     char body[128];
     char report[HARNESS_REPORT_SIZE];
+    if (harness_mode_is(mode, "held")) {
+        return harness_serve_held(fd, request, id, node);
+    }
     harness_format_report_headers(report, sizeof(report), node);
     snprintf(headers, sizeof(headers),
              "Lavenderfield-Attempt-Id: %s\r\n"
--- a/tests/unit/load_test.c
+++ b/tests/unit/load_test.c
@@ -1,9 +1,11 @@
-/* Load reports of targets, and what is derived from them: calls of an earlier
- * start that still run, and Retry-After. */
+/* Load of targets: their reports and what is derived from them (calls of an
+ * earlier start that still run, and Retry-After), and what counts as
+ * overload. */
 #include <criterion/criterion.h>
 
 #include "lav/retry_after.h"
 #include "lav/orphan_calls.h"
+#include "lav/overload.h"
 
 #define COUNT(list) (sizeof(list) / sizeof((list)[0]))
 
@@ -120,3 +122,24 @@
     cr_expect_eq(retry_after_shed_us(1000000, 0, 0), 1000000);
     cr_expect_eq(retry_after_shed_us(0, 0.1, 17), 0);
 }
+
+typedef struct expired_case {
+    enum reason reason;
+    int lost;
+} expired_case;
+
+static const expired_case expired_cases[] = {
+    {REASON_QUEUE_TIMEOUT, 1},
+    {REASON_DEADLINE, 1},
+    {REASON_DRAINING, 0},
+};
+
+Test(overload, requests_that_a_leaving_target_cannot_get_are_no_sign_of_it)
+{
+    for (size_t i = 0; i < COUNT(expired_cases); i++) {
+        const expired_case *c = &expired_cases[i];
+        overload_meter meter = {0};
+        overload_count_expired(&meter, c->reason);
+        cr_expect_eq((int)meter.lost, c->lost, "%s", reason_name(c->reason));
+    }
+}
--- a/tests/unit/queue_test.c
+++ b/tests/unit/queue_test.c
@@ -334,3 +334,148 @@
     }
     target_queue_free(queue);
 }
+
+/* A queue whose slots are taken, with requests that wait for them. */
+typedef struct closing_case {
+    const char *name;
+    bool mixed;
+    int run_ms; /* of the calls before; 0: none has ended */
+    int limit;
+    int waiting;
+    int left_ms; /* until the queue closes */
+    int kept;    /* of those that wait; the others are refused */
+} closing_case;
+
+static const closing_case closing_cases[] = {
+    {"long before", false, 40, 2, 8, 1000, 8},
+    {"nothing known of the run time", false, 0, 2, 8, 1, 8},
+    {"the last one is just in time", false, 40, 2, 8, 160, 8},
+    {"one is too late", false, 40, 2, 8, 159, 7},
+    {"half are too late", false, 40, 2, 8, 80, 4},
+    {"long requests in all slots", false, 600, 2, 8, 250, 0},
+    {"it closes now", false, 40, 2, 8, 0, 0},
+    {"it has closed", false, 0, 2, 8, -100, 0},
+    {"more slots", false, 40, 8, 8, 40, 8},
+    {"mixed, long before", true, 40, 2, 6, 1000, 6},
+    {"mixed, one is too late", true, 40, 2, 6, 119, 5},
+    {"mixed, it closes now", true, 40, 2, 6, 0, 0},
+    {"mixed, nothing known of the run time", true, 0, 2, 6, 0, 0},
+};
+
+/* Creates the queue of a case at the time 0: slots taken by calls with the
+ * first handles, the others wait. */
+static target_queue *
+make_closing_queue(const closing_case *c)
+{
+    target_queue *queue = NULL;
+    cr_assert_eq(target_queue_new(&queue), 0);
+    target_queue_set_limit(queue, c->limit, 0);
+    target_queue_set_mixed(queue, c->mixed, 0);
+    target_queue_request before = request(0, true, 0);
+    if (c->run_ms > 0) {
+        cr_assert_eq(target_queue_decide(queue, &before, 0).decision,
+                     ADMISSION_DISPATCHED);
+        target_queue_end_call(queue, 0, c->run_ms * MS, 0);
+    }
+    for (int i = 0; i < c->limit + c->waiting; i++) {
+        target_queue_request r = request(i, true, 0);
+        cr_assert_eq(target_queue_decide(queue, &r, 0).decision,
+                     i < c->limit ? ADMISSION_DISPATCHED : ADMISSION_QUEUED,
+                     "%s: %d", c->name, i);
+    }
+    return queue;
+}
+
+/* Returns how many requests are refused as the target leaves. */
+static int
+refuse_draining(target_queue *queue, int64_t now_us)
+{
+    admission_refusal refusal;
+    int count = 0;
+    while (target_queue_pop_expired(&refusal, queue, now_us)) {
+        cr_assert_eq(refusal.reason, REASON_DRAINING);
+        cr_assert_not(target_queue_remove(queue, refusal.handle));
+        count++;
+    }
+    return count;
+}
+
+Test(target_queue, what_cannot_go_before_it_closes_is_refused_at_once)
+{
+    for (size_t i = 0; i < COUNT(closing_cases); i++) {
+        const closing_case *c = &closing_cases[i];
+        target_queue *queue = make_closing_queue(c);
+        cr_expect_eq(refuse_draining(queue, 0), 0, "%s", c->name);
+        target_queue_close(queue, c->left_ms * MS);
+        cr_expect_eq(refuse_draining(queue, 0), c->waiting - c->kept, "%s",
+                     c->name);
+        cr_expect_eq(target_queue_queued_count(queue), c->kept, "%s", c->name);
+        cr_expect_eq(target_queue_running_count(queue), c->limit, "%s",
+                     c->name);
+        target_queue_free(queue);
+    }
+}
+
+/* Slots become free at the closing time and a moment before it. */
+Test(target_queue, nothing_is_dispatched_once_it_has_closed)
+{
+    for (int mixed = 0; mixed < 2; mixed++) {
+        closing_case c = {"", mixed == 1, 0, 2, 4, 0, 0};
+        target_queue *queue = make_closing_queue(&c);
+        int handle = 0;
+        target_queue_request late = request(6, true, 100 * MS);
+        target_queue_close(queue, 100 * MS);
+        target_queue_end_call(queue, 0, 0, 100 * MS - 1);
+        cr_expect(target_queue_pop(&handle, queue, 100 * MS - 1));
+        target_queue_end_call(queue, 1, 0, 100 * MS);
+        cr_expect_not(target_queue_pop(&handle, queue, 100 * MS));
+        cr_expect_eq(refuse_draining(queue, 100 * MS), 3);
+        admission_result got = target_queue_decide(queue, &late, 100 * MS);
+        cr_expect_eq(got.decision, ADMISSION_REFUSED);
+        cr_expect_eq(got.reason, REASON_DRAINING);
+        target_queue_reopen(queue);
+        cr_expect_eq(target_queue_decide(queue, &late, 100 * MS).decision,
+                     ADMISSION_DISPATCHED);
+        target_queue_free(queue);
+    }
+}
+
+/* It closes while calls wait in both queues, after a switch. */
+Test(target_queue, it_closes_after_a_switch)
+{
+    closing_case c = {"", false, 0, 2, 4, 0, 0};
+    target_queue *queue = make_closing_queue(&c);
+    target_queue_set_mixed(queue, true, 0);
+    target_queue_end_call(queue, 0, 0, 0);
+    for (int i = 6; i < 9; i++) {
+        target_queue_request r = request(i, true, 0);
+        cr_assert_eq(target_queue_decide(queue, &r, 0).decision,
+                     i == 6 ? ADMISSION_DISPATCHED : ADMISSION_QUEUED);
+    }
+    target_queue_close(queue, 10 * MS);
+    cr_expect_eq(refuse_draining(queue, 10 * MS - 1), 0);
+    cr_expect_eq(refuse_draining(queue, 10 * MS), 6);
+    target_queue_free(queue);
+}
+
+/* The most important requests go first, so the others are refused. */
+Test(target_queue, the_last_ones_are_refused_as_it_closes)
+{
+    for (int mixed = 0; mixed < 2; mixed++) {
+        closing_case c = {"", mixed == 1, 40, 1, 0, 0, 0};
+        target_queue *queue = make_closing_queue(&c);
+        admission_refusal refusal;
+        for (int i = 1; i <= 3; i++) {
+            target_queue_request r = request(i, true, 0);
+            r.rank = i == 2 ? 9 : 1;
+            r.priority = i == 2 ? 1 : 0;
+            cr_assert_eq(target_queue_decide(queue, &r, 0).decision,
+                         ADMISSION_QUEUED);
+        }
+        target_queue_close(queue, 100 * MS);
+        cr_expect(target_queue_pop_expired(&refusal, queue, 0));
+        cr_expect_eq(refusal.handle, 2);
+        cr_expect_not(target_queue_pop_expired(&refusal, queue, 0));
+        target_queue_free(queue);
+    }
+}
