local_target: a target that can't be checked is not used

What callers saw: a node that was killed after it had acknowledged a DELETE, and started again while the store was away, believed a heartbeat from before the DELETE.

Cause: without a desired state there is no health path, and without one local_target_check_unconfirmed() gave up, so that the target was used after 0.5 s. It counted as registered then: nothing checked it once the store was back. The same for a service without a health path, with the store at hand.

Why the fix works: the target says itself whether it leaves, and what is needed to ask it is needed to route a request. A target that may have left is held until it has passed a check, its heartbeats have gone on for 5 s, or the entries show that it has not left. It is checked again as each desired state comes into force, also a peer's, and as the entries are read.

--- a/src/flow/frontend_identity.c
+++ b/src/flow/frontend_identity.c
@@ -150,7 +150,7 @@
 }
 
 /* Another desired state came into force: refuses the waiting requests whose
- * keys it has withdrawn (a runtime_config_cb). */
+ * keys it has withdrawn. */
 void
 frontend_on_config(runtime *n)
 {
--- a/src/flow/local_target.h
+++ b/src/flow/local_target.h
@@ -30,6 +30,7 @@
 void local_target_drain(local_target *t, const char *instance);
 void local_target_recover(local_target *t, const instance_record *record);
 void local_target_set_earlier_known(local_target *t);
+void local_target_on_config(local_target *t);
 void local_target_probe_candidate(local_target *t);
 void local_target_check_end(local_target *t);
 int local_target_start_call(local_target_call **out, local_target *t,
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -107,6 +107,9 @@
 void local_target_recover_departed(local_target *t);
 void local_target_on_entries_wait(struct ev_loop *loop, ev_timer *watcher,
                                   int events);
+bool local_target_may_have_left(const local_target *t,
+                                const local_target_heartbeat *heartbeat);
+void local_target_check_unconfirmed(local_target *t);
 bool local_target_await_confirmation(local_target *t,
                                      const local_target_heartbeat *heartbeat);
 void local_target_reset(local_target *t, const char *instance,
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -192,7 +192,7 @@
  * the node: it started no later than the one that an earlier start announced,
  * or that one is not known yet.  A target that has started since has not
  * left. */
-static bool
+bool
 local_target_may_have_left(const local_target *t,
                            const local_target_heartbeat *heartbeat)
 {
@@ -206,32 +206,30 @@
                                  heartbeat->born_ms <= t->earlier.born_ms);
 }
 
-/* Starts the health check of a target that may have left, unless one is
- * pending; false if it cannot be checked. */
-static bool
+/* Starts the health check of the target whose heartbeat is held, unless one is
+ * pending.  The store's entries are awaited first.  Without a desired state
+ * with its health path the target cannot be checked. */
+void
 local_target_check_unconfirmed(local_target *t)
 {
     const runtime *n = t->n;
-    if (n->routes == NULL ||
+    bool awaits_entries = !t->earlier_known && ev_is_active(&t->entries_wait);
+    if (awaits_entries || t->health_check != NULL || n->routes == NULL ||
         routing_health_path(n->routes, n->settings.service) == NULL) {
-        return false;
-    }
-    if (t->health_check == NULL) {
-        t->candidate = (instance_record){.born_ms = t->unconfirmed.born_ms,
-                                         .slots = t->unconfirmed.slots};
-        g_strlcpy(t->candidate.instance, t->unconfirmed.instance,
-                  sizeof(t->candidate.instance));
-        local_target_probe_candidate(t);
+        return;
     }
-    return t->health_check != NULL;
+    t->candidate = (instance_record){.born_ms = t->unconfirmed.born_ms,
+                                     .slots = t->unconfirmed.slots};
+    g_strlcpy(t->candidate.instance, t->unconfirmed.instance,
+              sizeof(t->candidate.instance));
+    local_target_probe_candidate(t);
 }
 
 /* Holds the heartbeat of a target that may have left before this start of the
- * node, in which case it is late.  The store's entries are awaited first.  If
- * they name the target, or cannot be read, it has to pass a health check, which
- * a target that is leaving does not.  Returns false if the target is to be used
- * at once: it cannot be checked, or its heartbeats have gone on for longer than
- * they can be late. */
+ * node, in which case it is late.  The target has to pass a health check, which
+ * one that is leaving does not.  Returns false if it is to be used at once: it
+ * has not left, or its heartbeats have gone on for longer than they can be
+ * late. */
 bool
 local_target_await_confirmation(local_target *t,
                                 const local_target_heartbeat *heartbeat)
@@ -251,8 +249,8 @@
     if (waited_us >= LOCAL_TARGET_LATE_HEARTBEAT_MAX_US) {
         return false;
     }
-    bool awaits_entries = !t->earlier_known && ev_is_active(&t->entries_wait);
-    return awaits_entries || local_target_check_unconfirmed(t);
+    local_target_check_unconfirmed(t);
+    return true;
 }
 
 /* Updates the number of orphaned calls, and what is known of the host, from the
--- a/src/flow/local_target_registration.c
+++ b/src/flow/local_target_registration.c
@@ -74,14 +74,30 @@
     }
 }
 
-/* Considers the heartbeat that is held, if there is one. */
+/* Considers the heartbeat that is held, if there is one, as more is known now:
+ * its target is used if it has not left, else checked.  No heartbeat has
+ * arrived, so that this does not show that they have gone on. */
 static void
 local_target_confirm(local_target *t)
 {
-    if (t->instance[0] == '\0' && t->unconfirmed.instance[0] != '\0') {
-        local_target_heartbeat heartbeat = t->unconfirmed;
-        local_target_register(t, &heartbeat);
+    if (t->instance[0] != '\0' || t->unconfirmed.instance[0] == '\0') {
+        return;
     }
+    if (local_target_may_have_left(t, &t->unconfirmed)) {
+        local_target_check_unconfirmed(t);
+        return;
+    }
+    local_target_heartbeat heartbeat = t->unconfirmed;
+    local_target_register(t, &heartbeat);
+}
+
+/* Another desired state is in force, which may name the health path by which
+ * targets are checked. */
+void
+local_target_on_config(local_target *t)
+{
+    local_target_probe_candidate(t);
+    local_target_confirm(t);
 }
 
 /* Timer: the store's entries were not read in time. */
--- a/tests/integration/mesh_recovery_test.c
+++ b/tests/integration/mesh_recovery_test.c
@@ -10,7 +10,8 @@
 
 #define BOUND_MS 15000 /* the platform's `recovery` */
 #define FROZEN_MS 2000
-#define PAUSE_MS 10 /* between two attempts */
+#define AWAY_MS 1000 /* of the store, after a heartbeat */
+#define PAUSE_MS 10  /* between two attempts */
 #define NEW_ROUTES                                                            \
     "[" ROUTE("/new/", "idempotent", "5000ms",                                \
               "far") "," ROUTE("/n/", "non_idempotent", "5000ms", "far") "]"
@@ -60,6 +61,43 @@
     harness_set_store_mode(HARNESS_STORE_UP);
 }
 
+/* Restart node 1 while the store is away; its target sends one heartbeat. */
+static void
+restart_node_in_an_outage(void)
+{
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    mesh_restart_node(1);
+    cr_assert(HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
+}
+
+/* The same; the store is back before anyone calls. */
+static void
+restart_node_before_the_store(void)
+{
+    restart_node_in_an_outage();
+    harness_sleep_ms(AWAY_MS);
+    harness_set_store_mode(HARNESS_STORE_UP);
+}
+
+/* Node 1 and its target start for the first time, as nothing is left of those
+ * before, and the store is away until the first heartbeat. */
+static void
+start_first_before_the_store(void)
+{
+    cr_assert_eq(harness_deregister_target(1), 200);
+    harness_set_target_refusing(1, true);
+    harness_signal_node(1, SIGTERM);
+    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
+    cr_assert_eq(harness_wait_node_exit(1), 0);
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_set_target_refusing(1, false);
+    harness_replace_instance(1, "i-first");
+    harness_start_node(1);
+    cr_assert(HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
+    harness_sleep_ms(AWAY_MS);
+    harness_set_store_mode(HARNESS_STORE_UP);
+}
+
 static void
 restart_all_after_a_change(void)
 {
@@ -82,6 +120,12 @@
     {"all nodes killed", mesh_restart_all, "/n/ok"},
     {"all nodes killed, the store away until then",
      restart_all_without_the_store, "/n/ok"},
+    {"the target's node killed, the store away", restart_node_in_an_outage,
+     "/n/shed-at-2"},
+    {"the target's node killed, the store away until then",
+     restart_node_before_the_store, "/n/shed-at-2"},
+    {"the target's node new, the store away until then",
+     start_first_before_the_store, "/n/shed-at-2"},
     {"all nodes killed right after a change", restart_all_after_a_change,
      "/new/ok"},
 };
