local_target: a target that no entry names is checked too

What callers would see: a target that registers and deregisters while the store is away, beside a node that is killed then, gets requests again after its late heartbeat.

Cause: an earlier start's entry that names another target, or its absence, was taken to show that the target hadn't left. It shows nothing of what came after the entry was written.

Why the fix works: only a target that has started after the node, or a node whose entries were read within 0.5 s of the heartbeat and hold none of its own, goes without a check. As the entry's target may be checked first, the one whose heartbeat is held is checked after it, without another heartbeat.

The set-up of a_target_that_left_is_not_brought_back repeats its heartbeat until the target is registered: without a health path a target that started before the node takes 5 s now. What it asserts is unchanged.

--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -42,13 +42,24 @@
     local_target_announce_state(t);
 }
 
+/* Whether the candidate is another target than the one whose heartbeat is
+ * held. */
+static bool
+local_target_candidate_is_other(const local_target *t)
+{
+    return strcmp(t->candidate.instance, t->unconfirmed.instance) != 0 ||
+           t->candidate.born_ms != t->unconfirmed.born_ms;
+}
+
 /* Evaluates the health check of the candidate.  It is adopted only if no
- * target has registered meanwhile and the same instance responds. */
+ * target has registered meanwhile and the same instance responds.  If it is not
+ * there, another one whose heartbeat is held may be. */
 static void
 local_target_on_health(const http_async_response *response, void *payload)
 {
     local_target *t = payload;
     const char *instance = response->values[LOCAL_TARGET_FIELD_ID];
+    bool check_held = false;
     t->health_check = NULL;
     if (t->instance[0] == '\0') {
         if (response->result == HTTP_ASYNC_COMPLETE &&
@@ -62,9 +73,14 @@
             log_event(LOG_INFO, "target_not_adopted", NULL, "{s:s,s:s,s:i}",
                       "instance", t->candidate.instance, "answered_by",
                       instance, "status", response->status);
+            check_held = t->unconfirmed.instance[0] != '\0' &&
+                         local_target_candidate_is_other(t);
         }
     }
     t->candidate = (instance_record){0};
+    if (check_held) {
+        local_target_check_unconfirmed(t);
+    }
 }
 
 /* Starts the health check of the candidate, if there is one and a desired
@@ -189,9 +205,10 @@
 }
 
 /* Whether the target that sent a heartbeat may have left before this start of
- * the node: it started no later than the one that an earlier start announced,
- * or that one is not known yet.  A target that has started since has not
- * left. */
+ * the node.  An earlier start of the node may have acknowledged that without
+ * writing it, also of a target that registered after its entry was written.  It
+ * has not if the entries could be read at once and show that this start is the
+ * first one, or if the target has started since. */
 bool
 local_target_may_have_left(const local_target *t,
                            const local_target_heartbeat *heartbeat)
@@ -202,8 +219,7 @@
                                   heartbeat->born_ms)) {
         return false;
     }
-    return !t->earlier_known || (t->earlier.instance[0] != '\0' &&
-                                 heartbeat->born_ms <= t->earlier.born_ms);
+    return !t->earlier_known || t->announced_earlier || t->entries_late;
 }
 
 /* Starts the health check of the target whose heartbeat is held, unless one is
--- a/tests/integration/mesh_late_heartbeat_test.c
+++ b/tests/integration/mesh_late_heartbeat_test.c
@@ -3,6 +3,7 @@
  * next start: the target must not get requests again.  One that lives on
  * must. */
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 
 #include "lav/clock.h"
@@ -64,8 +65,8 @@
 {
     harness_set_target_health(1, 0, "");
     harness_replace_instance(1, instance);
-    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
     cr_assert(HARNESS_WAIT_FOR(
+        harness_send_heartbeat(1, "ready", 0) == 200 &&
         harness_store_spec_contains("lavnodes", "node1", instance) &&
         harness_store_spec_contains("lavnodes", "node1", "ready")));
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, instance)));
@@ -107,6 +108,72 @@
     }
 }
 
+typedef struct unnamed_case {
+    const char *name;
+    bool first_start;     /* of the node, so that it has no entry */
+    bool heartbeat_first; /* it arrives before the store is back */
+} unnamed_case;
+
+static const unnamed_case unnamed_cases[] = {
+    {"the entry names another one", false, false},
+    {"the entry names another one, heartbeat first", false, true},
+    {"no entry, heartbeat first", true, true},
+};
+
+/* Stops node 1 after its target, so that it has no entry, and starts it and the
+ * target anew while the store is away. */
+static void
+start_first_in_an_outage(const char *instance)
+{
+    cr_assert_eq(harness_deregister_target(1), 200);
+    harness_set_target_refusing(1, true);
+    harness_signal_node(1, SIGTERM);
+    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
+    cr_assert_eq(harness_wait_node_exit(1), 0);
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_set_target_refusing(1, false);
+    harness_replace_instance(1, instance);
+    harness_start_node(1);
+}
+
+/* The target registers and leaves while the store is away, so that the entry
+ * names another one or is missing. */
+Test(mesh_departed, a_target_that_no_entry_names)
+{
+    for (size_t i = 0; i < COUNT(unnamed_cases); i++) {
+        const unnamed_case *c = &unnamed_cases[i];
+        char late[512];
+        char instance[32];
+        snprintf(instance, sizeof(instance), "i-unnamed-%zu", i);
+        harness_set_target_health(1, 0, "");
+        if (c->first_start) {
+            start_first_in_an_outage(instance);
+        }
+        else {
+            harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+            harness_replace_instance(1, instance);
+        }
+        cr_assert(
+            HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
+        harness_format_heartbeat(late, sizeof(late), 1, "ready", 0);
+        cr_assert_eq(harness_deregister_target(1), 200);
+        harness_set_target_health(1, UNHEALTHY, "");
+        mesh_restart_node(1);
+        if (c->heartbeat_first) {
+            cr_assert(HARNESS_WAIT_FOR(
+                harness_send_heartbeat_body(1, instance, late) == 200));
+            harness_sleep_ms(ENTRIES_WAIT_MS);
+        }
+        harness_set_store_mode(HARNESS_STORE_UP);
+        cr_assert(harness_wait_ready(1));
+        if (!c->heartbeat_first) {
+            cr_assert_eq(harness_send_heartbeat_body(1, instance, late), 200);
+        }
+        harness_sleep_ms(SETTLE_MS);
+        cr_expect_eq(mesh_count_runs_of_node1(instance), 0, "%s", c->name);
+    }
+}
+
 /* A target that lives on sends one heartbeat while its node can't check it. It
  * is checked as soon as the store is back, before the next heartbeat. */
 Test(mesh_departed, a_target_that_lives_on_is_used_once_the_store_is_back)
@@ -120,7 +187,20 @@
     cr_expect(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("lives") > 0));
 }
 
-/* The same where a peer tells the desired state while the store is away. */
+/* The same if the entry names the target before, which is checked first. */
+Test(mesh_departed, another_target_is_used_once_the_store_is_back)
+{
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_replace_instance(1, "i-successor");
+    mesh_restart_node(1);
+    cr_assert(HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
+    harness_sleep_ms(ENTRIES_WAIT_MS);
+    harness_set_store_mode(HARNESS_STORE_UP);
+    cr_assert(harness_wait_ready(1));
+    cr_expect(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("lives") > 0));
+}
+
+/* Likewise where a peer tells the desired state while the store is away. */
 Test(mesh_departed, a_target_that_lives_on_is_used_by_a_peers_desired_state)
 {
     harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
