--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -43,6 +43,7 @@
                                 * it; empty instance: none known */
     instance_record candidate; /* the same, while it is being checked */
     bool earlier_known;        /* the store's entries were read */
+    bool entries_late;         /* they could not be read for a while */
     bool announced_earlier;    /* an earlier start of the node has an entry */
     local_target_heartbeat unconfirmed; /* of a target that may have left
                                          * before; empty instance: none */
@@ -107,6 +108,9 @@
 void local_target_recover_departed(local_target *t);
 void local_target_on_entries_wait(struct ev_loop *loop, ev_timer *watcher,
                                   int events);
+bool local_target_may_have_left(const local_target *t,
+                                const local_target_heartbeat *heartbeat);
+void local_target_check_unconfirmed(local_target *t);
 bool local_target_await_confirmation(local_target *t,
                                      const local_target_heartbeat *heartbeat);
 void local_target_reset(local_target *t, const char *instance,
