tests: nodes that can't write their entry again after a restore

What callers saw: after a restore that lost a node's entry the other nodes send it no calls any more, 5 s later, though it is alive.

platform_names takes what a restored store lacks for removed after 5 s, whether the store could be written in that time or not. A node that is cut off from the store, and was used until then, isn't used any more; neither are all whose entries are missing if the store goes away again before they are written.

What is missing could be probed, as nodes that don't answer are, and removed only if nobody answers; waiting while the store is lost would mend the other row only.

--- a/tests/integration/restore_entries_test.c
+++ b/tests/integration/restore_entries_test.c
@@ -7,15 +7,16 @@
 
 #define CALLS 40
 #define CALL_GAP_MS 25
+#define LATE_WRITER_MS 7000 /* over the time that missing entries are kept */
 
 static const char *const services[] = {"near", "far", "far"};
 
 /* Start the deployment with a copy from before the nodes wrote their
  * entries. */
 static void
-start_with_early_copy(void)
+start_with_early_copy(const harness_options *opts)
 {
-    harness_start(MESH_NODES, services);
+    harness_start_with(MESH_NODES, services, opts);
     harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
     harness_publish_desired(1, ROUTES);
     harness_store_copy();
@@ -77,7 +78,8 @@
 {
     static const bool away_cases[] = {true, false};
     for (size_t i = 0; i < COUNT(away_cases); i++) {
-        start_with_early_copy();
+        harness_options defaults = {0};
+        start_with_early_copy(&defaults);
         restore_store(away_cases[i]);
         int failed = count_failed_calls("lacks");
         cr_expect_eq(failed, 0, "away %d: %d", away_cases[i], failed);
@@ -194,3 +196,42 @@
     cr_expect_not(harness_log_contains(0, "node node1: entry was deleted"));
     cr_expect_not(harness_log_contains(2, "node node1: entry was deleted"));
 }
+
+/* How the node whose entry is missing is kept from writing it again. */
+typedef struct late_writer_case {
+    const char *name;
+    bool away_again; /* the store goes away for all nodes */
+} late_writer_case;
+
+static const late_writer_case late_writer_cases[] = {
+    {"the store goes away again", true},
+    {"the node is cut off from the store", false},
+};
+
+/* A node that can't write its entry again for longer than the others wait for
+ * it still serves their calls. */
+Test(restore, entries_that_cannot_be_written_again_in_time,
+     .fini = harness_stop, .timeout = 120)
+{
+    harness_options proxied = {.proxied = true};
+    for (size_t i = 0; i < COUNT(late_writer_cases); i++) {
+        const late_writer_case *c = &late_writer_cases[i];
+        start_with_early_copy(&proxied);
+        fault_proxy_set_mode(harness_get_store_proxy(1),
+                             FAULT_PROXY_BLACKHOLE);
+        harness_store_restore();
+        for (int node = 0; node < MESH_NODES; node += 2) {
+            cr_assert(HARNESS_WAIT_FOR(
+                harness_log_contains(node, "\"objects_missing\"")));
+        }
+        if (c->away_again) {
+            harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+            fault_proxy_set_mode(harness_get_store_proxy(1), FAULT_PROXY_PASS);
+        }
+        harness_sleep_ms(LATE_WRITER_MS);
+        cr_expect(mesh_count_runs_of_node1("late") > 0, "%s", c->name);
+        cr_expect_not(harness_log_contains(0, "node node1: entry was deleted"),
+                      "%s", c->name);
+        harness_stop();
+    }
+}
