tests: entries that a restored store lacks are kept for their writers

restore/entries_that_are_not_written_again only saw that a missing entry is removed in the end. It now also compares the times that the node logs: the entry is kept for 4 s at least, on any machine.

--- a/tests/integration/restore_entries_test.c
+++ b/tests/integration/restore_entries_test.c
@@ -1,12 +1,17 @@
 /* The nodes' entries when the store is restored from a copy. */
 #include <criterion/criterion.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "mesh.h"
 
 #define CALLS 40
 #define CALL_GAP_MS 25
+#define WRITERS_NOTICE_MS                                                     \
+    4000                    /* they need up to 2 s, and poll once a second */
 #define LATE_WRITER_MS 7000 /* over the time that missing entries are kept */
 
 static const char *const services[] = {"near", "far", "far"};
@@ -148,8 +153,27 @@
     cr_expect_eq(failed, 0, "%d", failed);
 }
 
+/* When a node first logged a line with a text, in Unix ms; 0: never. */
+static int64_t
+first_logged_ms(int node, const char *text)
+{
+    char path[512];
+    char line[4096];
+    int64_t ms = 0;
+    snprintf(path, sizeof(path), "%s/node%d.log", harness_log_dir(), node);
+    FILE *log = fopen(path, "r");
+    cr_assert_not_null(log, "%s", path);
+    while (ms == 0 && fgets(line, sizeof(line), log) != NULL) {
+        if (strstr(line, text) != NULL) {
+            ms = strtoll(line + strlen("{\"ms\":"), NULL, 10);
+        }
+    }
+    fclose(log);
+    return ms;
+}
+
 /* A node whose entry the copy lacks and that doesn't write it again is taken
- * for gone after a while. */
+ * for gone, but not before writers had time to write again. */
 Test(restore, entries_that_are_not_written_again, .fini = harness_stop,
      .timeout = 60)
 {
@@ -168,8 +192,11 @@
                       "\"127.0.0.1:9\",\"state\":\"draining\",\"slots\":4}");
     cr_assert(HARNESS_WAIT_FOR(harness_log_contains(0, "i-other")));
     restore_store(true);
-    cr_expect(HARNESS_WAIT_FOR(
+    cr_assert(HARNESS_WAIT_FOR(
         harness_log_contains(0, "node other: entry was deleted")));
+    int64_t kept_ms = first_logged_ms(0, "node other: entry was deleted") -
+                      first_logged_ms(0, "\"objects_missing\"");
+    cr_expect_geq(kept_ms, WRITERS_NOTICE_MS, "%" PRId64, kept_ms);
 }
 
 /* A node that starts during the outage has heard the era before the restore,
