http_request: broken heads are rejected by the grammar alone

The mutant "text after the version" was missed: http_parser rejects such a line too. A test of http_syntax without the parser behind it, over the tables of request lines and fields.

--- a/tests/unit/http_request_test.c
+++ b/tests/unit/http_request_test.c
@@ -10,6 +10,8 @@
 #include "broken_request.h"
 #include "evloop.h"
 #include "http_conn.h"
+#include "http_syntax.h"
+#include "lav/err.h"
 #include "request_reader.h"
 
 TestSuite(http_request);
@@ -191,6 +193,27 @@
     }
 }
 
+/* The checks don't rely on those of http_parser. */
+Test(http_request, broken_heads_are_rejected_by_the_grammar)
+{
+    static const broken_request_table *const tables[] = {
+        &broken_request_lines, &broken_request_fields};
+    for (size_t t = 0; t < COUNT(tables); t++) {
+        for (size_t i = 0; i < tables[t]->count; i++) {
+            const broken_request *request = &tables[t]->cases[i];
+            GString *text = format_request(request);
+            http_syntax syntax;
+            size_t out = 0;
+            http_syntax_begin_request(&syntax);
+            int result =
+                http_syntax_check(&out, &syntax, text->str, text->len);
+            cr_expect_eq(result, request->status == 501 ? 0 : ERR_INVALID,
+                         "%s: %d", request->name, result);
+            g_string_free(text, TRUE);
+        }
+    }
+}
+
 Test(http_request, cases_are_read_by_the_grammar)
 {
     const broken_request_table *tables[BROKEN_REQUEST_TABLE_COUNT + 1] = {
