http_conn: unfinished request heads are bounded over all connections

At the peers' address a head may have 128 KiB and 60 s, so connections that send a part of one grow the node's memory with their number: 2,000 of 60,000 bytes each took it to 126,600 KiB (a node has 256 MiB).

The bytes of unfinished heads and trailers are counted over the connections of a loop. Above 8 MiB the connection with the largest one gets 431 and is closed; that whose bytes are being read is not among them, so a request that comes in one piece is served meanwhile.

mesh_endless/unfinished_heads_of_peers failed before (126,600 KiB, over 64 MiB) and passes after, with a request served beside them. Those of callers and of the control address, which have smaller limits, pass before and after. mesh_request, mesh_endless, mesh_input, mesh_broken, mesh_flood: 38 of 38; flow: 142 of 142. The rest of mesh and a soak were not run on this commit.

--- a/src/http/evloop.h
+++ b/src/http/evloop.h
@@ -27,6 +27,7 @@
     struct http_conn *dirty;       /* connections with output to flush */
     struct http_conn *closed; /* to be freed at the end of the iteration */
     size_t open;              /* number of open connections */
+    size_t head_bytes;        /* of requests whose heads are incomplete */
     int64_t now_us; /* clock_now_us() at the start of the current handler */
     char read_buffer[EVLOOP_READ_SIZE];
 } evloop;
--- a/src/http/http_conn.c
+++ b/src/http/http_conn.c
@@ -106,6 +106,7 @@
     close(c->fd);
     c->fd = -1;
     c->deadline_us = 0;
+    http_conn_finish_head(c);
     c->l->open--;
     http_conn_unref(c);
 }
--- a/src/http/http_conn.h
+++ b/src/http/http_conn.h
@@ -29,6 +29,10 @@
  * connection fails. */
 #define HTTP_CONN_UNUSED_BYTES_MAX 1048576
 
+/* Server: unfinished request heads of all connections of a loop; above this,
+ * the largest ones are rejected. */
+#define HTTP_CONN_HEADS_BYTES_MAX 8388608
+
 typedef struct http_conn http_conn;
 
 enum http_conn_close_reason {
--- a/src/http/http_conn_linger.c
+++ b/src/http/http_conn_linger.c
@@ -67,6 +67,7 @@
     c->close_after_flush = false;
     c->deadline_us = c->l->now_us + HTTP_CONN_LINGER_US;
     http_conn_set_handlers(c, &http_conn_linger_handlers, NULL);
+    http_conn_finish_head(c);
     http_head_reset(&c->head);
     bytebuf_clear(&c->pending);
     http_conn_set_paused(c, false);
--- a/src/http/http_conn_parse.c
+++ b/src/http/http_conn_parse.c
@@ -19,11 +19,46 @@
     return parser->data;
 }
 
+/* The head, or the connection, is complete: it is no longer part of
+ * evloop.head_bytes. */
+void
+http_conn_finish_head(http_conn *c)
+{
+    c->l->head_bytes -= c->unfinished_bytes;
+    c->unfinished_bytes = 0;
+}
+
+/* Fail the connections with the largest unfinished heads but `c` until all
+ * others fit the limit. */
+static void
+http_conn_shed_heads(const http_conn *c)
+{
+    while (c->l->head_bytes > HTTP_CONN_HEADS_BYTES_MAX) {
+        http_conn *largest = NULL;
+        for (http_conn *x = c->l->connections; x != NULL; x = x->next) {
+            if (x != c && x->unfinished_bytes > 0 &&
+                (largest == NULL ||
+                 x->unfinished_bytes >= largest->unfinished_bytes)) {
+                largest = x;
+            }
+        }
+        if (largest == NULL) {
+            return;
+        }
+        http_conn_fail(largest, HTTP_CONN_TOO_LARGE);
+    }
+}
+
 /* Add to the size of the head; returns false if it exceeds the limit. */
 static bool
 http_conn_count_head_bytes(http_conn *c, size_t length)
 {
     c->head_bytes += length;
+    if (c->parser.type == HTTP_REQUEST) {
+        c->unfinished_bytes += length;
+        c->l->head_bytes += length;
+        http_conn_shed_heads(c);
+    }
     return c->head_bytes_max == 0 || c->head_bytes <= c->head_bytes_max;
 }
 
@@ -135,6 +170,7 @@
 {
     http_conn *c = http_conn_from_parser(parser);
     http_head *head = &c->head;
+    http_conn_finish_head(c);
     parser->upgrade = 0; /* upgrades are not supported: the bytes stay HTTP */
     head->is_http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
     head->chunked = (parser->flags & F_CHUNKED) != 0;
@@ -227,6 +263,7 @@
 {
     http_conn *c = http_conn_from_parser(parser);
     c->in_message = false;
+    http_conn_finish_head(c); /* its trailer */
     http_conn_begin_syntax(c);
     http_parser_pause(parser, 1);
     if (c->skipping_message) {
--- a/src/http/http_conn_private.h
+++ b/src/http/http_conn_private.h
@@ -43,6 +43,7 @@
     int64_t head_timeout_us;     /* from the start of a message; 0: none */
     size_t head_bytes_max;       /* 0: no limit */
     size_t head_bytes;           /* of the current message so far */
+    size_t unfinished_bytes;     /* part of evloop.head_bytes */
     size_t unused_bytes; /* received since a part was last passed on, or since
                           * the connection lingers */
     enum http_conn_field_part field_part;
@@ -65,6 +66,7 @@
 void http_conn_linger_flushed(http_conn *c);
 void http_conn_linger_discard(http_conn *c, size_t length);
 void http_conn_fail(http_conn *c, enum http_conn_close_reason reason);
+void http_conn_finish_head(http_conn *c);
 int http_conn_parser_setup(http_conn *c, enum http_parser_type type);
 enum http_conn_head_result http_conn_parse(http_conn *c, const char *bytes,
                                            size_t length);
--- a/tests/integration/mesh_endless_test.c
+++ b/tests/integration/mesh_endless_test.c
@@ -97,3 +97,48 @@
     send_each(harness_nodes[0].ports[HARNESS_CONTROL], endless_cases,
               COUNT(endless_cases));
 }
+
+#define UNFINISHED 2000
+#define UNFINISHED_BYTES 60000 /* of each head */
+
+/* Unfinished heads on many connections. */
+static void
+open_unfinished(int port)
+{
+    static const char start[] =
+        "POST " BROKEN_REQUEST_PATH " HTTP/1.1\r\nX-Odd: ";
+    int fds[UNFINISHED];
+    char *filler = malloc(UNFINISHED_BYTES);
+    memset(filler, 'a', UNFINISHED_BYTES);
+    for (int i = 0; i < UNFINISHED; i++) {
+        fds[i] = harness_connect_port(port);
+        cr_assert_geq(fds[i], 0);
+        harness_send(fds[i], start, strlen(start));
+        harness_send(fds[i], filler, UNFINISHED_BYTES);
+    }
+    harness_response response;
+    harness_call(&response, 0, "POST", BROKEN_REQUEST_PATH, "beside", "", 0);
+    cr_expect_eq(response.status, 200, "%d", response.status);
+    harness_free_response(&response);
+    cr_expect_lt(harness_node_peak_kb(0), PEAK_MAX_KB, "%ld KiB",
+                 harness_node_peak_kb(0));
+    for (int i = 0; i < UNFINISHED; i++) {
+        close(fds[i]);
+    }
+    free(filler);
+}
+
+Test(mesh_endless, unfinished_heads_of_callers)
+{
+    open_unfinished(harness_callers_port(0));
+}
+
+Test(mesh_endless, unfinished_heads_of_peers)
+{
+    open_unfinished(harness_peers_port(0));
+}
+
+Test(mesh_endless, unfinished_heads_at_the_control_address)
+{
+    open_unfinished(harness_nodes[0].ports[HARNESS_CONTROL]);
+}
