http_syntax: runs of a part's bytes by a table

Bytes of methods and targets went through the state machine one by one, and those of values through a function each.

--- a/src/http/http_syntax.c
+++ b/src/http/http_syntax.c
@@ -20,6 +20,15 @@
     ['^' ... 'z'] = true, ['|'] = true,          ['~'] = true,
 };
 
+/* The bytes of a reason phrase or a field value. */
+static const bool http_syntax_text_bytes[UCHAR_MAX + 1] = {
+    ['\t'] = true, [' ' ... '~'] = true, [0x80 ... UCHAR_MAX] = true};
+
+/* The bytes of a request target.  Those outside ASCII are forwarded as they
+ * are. */
+static const bool http_syntax_target_bytes[UCHAR_MAX + 1] = {
+    ['!' ... '~'] = true, [0x80 ... UCHAR_MAX] = true};
+
 /* Result of a byte. */
 enum http_syntax_step {
     HTTP_SYNTAX_NEXT,
@@ -84,7 +93,7 @@
 static bool
 http_syntax_is_text(char byte)
 {
-    return byte == '\t' || !g_ascii_iscntrl(byte);
+    return http_syntax_text_bytes[(unsigned char)byte];
 }
 
 /* Return whether a byte may be in a field name. */
@@ -94,26 +103,40 @@
     return http_syntax_tokens[(unsigned char)byte];
 }
 
-/* Return whether a byte may be in a request target.  Bytes outside ASCII are
- * forwarded as they are. */
+/* Return whether a byte may be in a request target. */
 static bool
 http_syntax_is_target(char byte)
 {
-    return byte != ' ' && !g_ascii_iscntrl(byte);
+    return http_syntax_target_bytes[(unsigned char)byte];
 }
 
-/* Return how many of the bytes go on with the present name or value. */
+/* Return the characters that go on with the present part and leave the state as
+ * it is; NULL if each byte has to be checked by http_syntax_step(). */
+static const bool *
+http_syntax_get_run(const http_syntax *s)
+{
+    switch (s->state) {
+    case HTTP_SYNTAX_METHOD:
+        return s->offset > 0 ? http_syntax_tokens : NULL;
+    case HTTP_SYNTAX_TARGET:
+        return s->offset > 0 ? http_syntax_target_bytes : NULL;
+    case HTTP_SYNTAX_FIELD_NAME:
+        return http_syntax_tokens;
+    case HTTP_SYNTAX_FIELD_VALUE:
+        return http_syntax_text_bytes;
+    default:
+        return NULL;
+    }
+}
+
+/* Return how many of the bytes go on with the present part. */
 static size_t
 http_syntax_count_run(const http_syntax *s, const char *bytes, size_t length)
 {
     size_t count = 0;
-    if (s->state == HTTP_SYNTAX_FIELD_NAME) {
-        while (count < length && http_syntax_is_token(bytes[count])) {
-            count++;
-        }
-    }
-    else if (s->state == HTTP_SYNTAX_FIELD_VALUE) {
-        while (count < length && http_syntax_is_text(bytes[count])) {
+    const bool *run = http_syntax_get_run(s);
+    if (run != NULL) {
+        while (count < length && run[(unsigned char)bytes[count]]) {
             count++;
         }
     }
