local_target: a target whose heartbeat was held has registered by it

Callers lost a target that had left and started again under its name: its node took the new start for the one that had left, and sent it nothing.

Cause: a heartbeat of a target that may have left before its node's start is held until the target passes a health check. The target was then adopted as if it had not been heard, so that its start time did not count as known: its departure was recorded for all starts up to the present time, and a start whose clock was behind that, as after a clock that was ahead, was among them.

The heartbeat that is held is the registration; an adopted target takes over its start time and sequence number. The log tells the two apart: target_confirmed for one whose heartbeat was held, target_adopted for one that only the node's entry names.

Two tests that waited for target_adopted after a held heartbeat wait for one more target_confirmed than before it, which is as strict.

--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -22,35 +22,42 @@
     LOCAL_TARGET_FIELD_LEAVING
 };
 
-/* Takes over the candidate as the target.  The calls that it reports as
- * running or queued are orphans of an earlier start of the node and occupy
- * slots. */
+/* Whether the candidate is another target than the one whose heartbeat is
+ * held. */
+static bool
+local_target_candidate_is_other(const local_target *t)
+{
+    return strcmp(t->candidate.instance, t->unconfirmed.instance) != 0 ||
+           t->candidate.born_ms != t->unconfirmed.born_ms;
+}
+
+/* Takes over the candidate as the target, which has registered if its heartbeat
+ * is held.  The calls that it reports as running or queued are orphans of an
+ * earlier start of the node and occupy slots. */
 static void
 local_target_adopt(local_target *t, const char *load_text)
 {
+    bool registered = !local_target_candidate_is_other(t);
+    int64_t sequence = t->unconfirmed.sequence;
     orphan_calls_load load = {0};
     bool load_known = orphan_calls_load_parse(&load, load_text);
     local_target_reset(t, t->candidate.instance, t->candidate.born_ms);
+    if (registered) {
+        t->registered = true;
+        t->sequence = sequence;
+    }
     if (load_known) {
         orphan_calls_init(&t->orphans, &load);
     }
     t->slots = t->candidate.slots;
     local_target_update_limit(t);
-    log_event(LOG_INFO, "target_adopted", NULL, "{s:s,s:b,s:i,s:i,s:i}",
-              "instance", t->instance, "load_told", load_known, "running",
-              load.running, "waiting", load.waiting, "slots", t->slots);
+    log_event(LOG_INFO, registered ? "target_confirmed" : "target_adopted",
+              NULL, "{s:s,s:b,s:i,s:i,s:i}", "instance", t->instance,
+              "load_told", load_known, "running", load.running, "waiting",
+              load.waiting, "slots", t->slots);
     local_target_announce_state(t);
 }
 
-/* Whether the candidate is another target than the one whose heartbeat is
- * held. */
-static bool
-local_target_candidate_is_other(const local_target *t)
-{
-    return strcmp(t->candidate.instance, t->unconfirmed.instance) != 0 ||
-           t->candidate.born_ms != t->unconfirmed.born_ms;
-}
-
 /* Evaluates the health check of the candidate.  It is adopted only if no
  * target has registered meanwhile and the same instance responds.  If it is not
  * there, another one whose heartbeat is held may be. */
--- a/tests/integration/mesh_flood_test.c
+++ b/tests/integration/mesh_flood_test.c
@@ -208,8 +208,10 @@
     cr_expect_lt(harness_node_peak_kb(1), PEAK_MAX_KB, "%ld KiB",
                  harness_node_peak_kb(1));
     harness_set_target_health(1, 0, "");
+    int confirmed = harness_log_count(1, "target_confirmed");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_adopted")));
+    cr_assert(HARNESS_WAIT_FOR(harness_log_count(1, "target_confirmed") >
+                               confirmed));
     harness_response response;
     harness_call(&response, 0, "POST", "/n/shed-at-2", "healthy", "", 0);
     cr_expect_eq(response.status, 200, "%d", response.status);
--- a/tests/integration/mesh_restart_test.c
+++ b/tests/integration/mesh_restart_test.c
@@ -154,6 +154,23 @@
     cr_expect_gt(mesh_count_runs_of_node1("again"), 0);
 }
 
+/* The same after a restart of the node: its heartbeat was held until a health
+ * check had passed.  The later start was taken for one that had left. */
+Test(mesh_restart, a_target_that_was_held_leaves_and_starts_again)
+{
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    mesh_restart_node(1);
+    cr_assert(HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
+    harness_set_store_mode(HARNESS_STORE_UP);
+    cr_assert(harness_wait_ready(1));
+    cr_assert(HARNESS_WAIT_FOR(mesh_count_runs_of_node1("held") > 0));
+    cr_assert_eq(harness_deregister_target(1), 200);
+    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_leaves")));
+    harness_replace_instance(1, "i-1");
+    cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
+    cr_expect_gt(mesh_count_runs_of_node1("again"), 0);
+}
+
 typedef struct departure_case {
     const char *name;
     bool deregisters;     /* instead of reporting that it drains */
@@ -242,8 +259,10 @@
     harness_sleep_ms(500);
     cr_expect_eq(mesh_count_runs_of_node1("unwritten"), 0);
     harness_set_target_health(1, 0, "");
+    int confirmed = harness_log_count(1, "target_confirmed");
     cr_assert_eq(harness_send_heartbeat(1, "ready", 0), 200);
-    cr_assert(HARNESS_WAIT_FOR(harness_log_contains(1, "target_adopted")));
+    cr_assert(HARNESS_WAIT_FOR(harness_log_count(1, "target_confirmed") >
+                               confirmed));
     cr_expect_gt(mesh_count_runs_of_node1("healthy"), 0);
 }
 
