local_target: that the store has no entry is no sign of a first start

Cause: a node whose entry the store doesn't have was taken to start for the first time, so that nobody could have acknowledged a departure. An entry may also be missing because it was lost in a restore, because another node removed it, or because it was never written.

Ruled out: the order of reads (the heartbeat came after the list), a copy that has the entry as ready, and a departure announced as draining; these hold.

The entries don't count as evidence any more: each target that started before its node is checked before it is used, by the only one that knows. What an entry says counts against a target only. The cost is one health request for most starts of a node.

--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -43,7 +43,6 @@
                                 * it; empty instance: none known */
     instance_record candidate; /* the same, while it is being checked */
     bool earlier_known;        /* the store's entries were read */
-    bool entries_late;         /* they could not be read for a while */
     bool announced_earlier;    /* an earlier start of the node has an entry */
     local_target_heartbeat unconfirmed; /* of a target that may have left
                                          * before; empty instance: none */
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -212,21 +212,18 @@
 }
 
 /* Whether the target that sent a heartbeat may have left before this start of
- * the node.  An earlier start of the node may have acknowledged that without
- * writing it, also of a target that registered after its entry was written.  It
- * has not if the entries could be read at once and show that this start is the
- * first one, or if the target has started since. */
+ * the node.  An earlier start of the node may have acknowledged that, and the
+ * store may lack its entry: it was never written, has been removed, or was lost
+ * as the store came back from a copy.  So that there is no entry shows nothing;
+ * only that the target has started since shows that it has not left. */
 bool
 local_target_may_have_left(const local_target *t,
                            const local_target_heartbeat *heartbeat)
 {
-    if (t->instance[0] != '\0' || heartbeat->leaving ||
-        heartbeat->born_ms >= t->node_started_ms ||
-        departed_targets_contains(&t->departed, heartbeat->instance,
-                                  heartbeat->born_ms)) {
-        return false;
-    }
-    return !t->earlier_known || t->announced_earlier || t->entries_late;
+    return t->instance[0] == '\0' && !heartbeat->leaving &&
+           heartbeat->born_ms < t->node_started_ms &&
+           !departed_targets_contains(&t->departed, heartbeat->instance,
+                                      heartbeat->born_ms);
 }
 
 /* Starts the health check of the target whose heartbeat is held, unless one is
--- a/src/flow/local_target_registration.c
+++ b/src/flow/local_target_registration.c
@@ -109,7 +109,6 @@
     (void)events;
     local_target *t = watcher->data;
     evloop_update_now(t->n->l);
-    t->entries_late = !t->earlier_known;
     local_target_confirm(t);
 }
 
--- a/tests/integration/mesh_late_heartbeat_test.c
+++ b/tests/integration/mesh_late_heartbeat_test.c
@@ -120,17 +120,21 @@
     {"no entry, heartbeat first", true, true},
 };
 
-/* Stops node 1 after its target, so that it has no entry, and starts it and the
- * target anew while the store is away. */
+/* Stops node 1 after its target, so that nothing is left of them. */
 static void
-start_first_in_an_outage(const char *instance)
+remove_node_and_target(void)
 {
     cr_assert_eq(harness_deregister_target(1), 200);
     harness_set_target_refusing(1, true);
     harness_signal_node(1, SIGTERM);
     cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
     cr_assert_eq(harness_wait_node_exit(1), 0);
-    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+}
+
+/* Starts node 1 and its target anew. */
+static void
+start_node_and_target(const char *instance)
+{
     harness_set_target_refusing(1, false);
     harness_replace_instance(1, instance);
     harness_start_node(1);
@@ -147,7 +151,9 @@
         snprintf(instance, sizeof(instance), "i-unnamed-%zu", i);
         harness_set_target_health(1, 0, "");
         if (c->first_start) {
-            start_first_in_an_outage(instance);
+            remove_node_and_target();
+            harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+            start_node_and_target(instance);
         }
         else {
             harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
@@ -174,6 +180,59 @@
     }
 }
 
+typedef struct copied_case {
+    const char *name;
+    bool copy_has_entry; /* in which the target is ready */
+    int late_ms;         /* from when the node is ready to the heartbeat */
+} copied_case;
+
+static const copied_case copied_cases[] = {
+    {"the copy lacks the entry", false, 0},
+    {"the copy lacks the entry, later heartbeat", false, 1500},
+    {"the entry is as it was before the departure", true, 0},
+};
+
+/* A departure that was written was lost, and the target believed, as the store
+ * came back from a copy without the entry, so that the node seemed to start for
+ * the first time. */
+Test(mesh_departed, a_target_whose_entry_a_restored_store_lacks)
+{
+    for (size_t i = 0; i < COUNT(copied_cases); i++) {
+        const copied_case *c = &copied_cases[i];
+        char late[512];
+        char instance[32];
+        snprintf(instance, sizeof(instance), "i-copied-%zu", i);
+        harness_set_target_health(1, 0, "");
+        remove_node_and_target();
+        harness_store_copy();
+        start_node_and_target(instance);
+        cr_assert(
+            HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
+        cr_assert(HARNESS_WAIT_FOR(
+            harness_store_spec_contains("lavnodes", "node1", instance) &&
+            harness_store_spec_contains("lavnodes", "node1", "ready")));
+        if (c->copy_has_entry) {
+            harness_store_copy();
+        }
+        harness_format_heartbeat(late, sizeof(late), 1, "ready", 0);
+        cr_assert_eq(harness_deregister_target(1), 200);
+        harness_set_target_health(1, UNHEALTHY, "");
+        cr_assert(HARNESS_WAIT_FOR(
+            harness_store_spec_contains("lavnodes", "node1", "draining")));
+        harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+        harness_signal_node(1, SIGKILL);
+        cr_assert_neq(harness_wait_node_exit(1), -1);
+        harness_store_restore();
+        harness_set_store_mode(HARNESS_STORE_UP);
+        harness_start_node(1);
+        cr_assert(harness_wait_ready(1));
+        harness_sleep_ms(c->late_ms);
+        cr_assert_eq(harness_send_heartbeat_body(1, instance, late), 200);
+        harness_sleep_ms(SETTLE_MS);
+        cr_expect_eq(mesh_count_runs_of_node1(instance), 0, "%s", c->name);
+    }
+}
+
 /* A target that lives on sends one heartbeat while its node can't check it. It
  * is checked as soon as the store is back, before the next heartbeat. */
 Test(mesh_departed, a_target_that_lives_on_is_used_once_the_store_is_back)
--- a/tests/integration/mesh_observability_test.c
+++ b/tests/integration/mesh_observability_test.c
@@ -295,7 +295,8 @@
         "target_started",  "target_leaves",   "target_lost",
         "store_lost",      "store_regained",  "member_lost",
         "started",         "stopping",        "stopped",
-        "object_rejected", "entry_rejected",  "target_end_checked"};
+        "object_rejected", "entry_rejected",  "target_end_checked",
+        "target_confirmed"};
     for (size_t i = 0; i < COUNT(expected); i++) {
         bool found = false;
         for (size_t j = 0; j < COUNT(events); j++) {
