runtime: the platform says when a fleet starts for the first time

Targets got more retries than the budget allows (BUDGET): all nodes were killed and the store came back from a copy that lacked their entries; each node took the fleet to be new and had its share of the slack a second time within one window.

Cause: the same as that of a target that was brought back after a restore: that the store has no entry of a node was taken to show that it never ran. A planned stop, which deletes the entry, had the same effect.

The settings template passes on what the platform says (bootstrap): true for the first start of the whole system only. Without it a node has no slack in its first window, as after any restart; an entry of an earlier start still overrides it.

The harness renders a node's settings anew at each start, as the platform does.

--- a/include/lav/proxycfg.h
+++ b/include/lav/proxycfg.h
@@ -31,6 +31,7 @@
     char store[NODECFG_ADDRESS_SIZE];   /* the platform's object store */
     char metrics[NODECFG_ADDRESS_SIZE]; /* listener: metrics; empty: none */
     int log_level;
+    bool first_start;      /* the whole fleet starts for the first time */
     int64_t heartbeat_ms;  /* period of the target's heartbeats */
     int64_t drain_ms;      /* time for a leaving target to drain */
     int64_t stop_grace_ms; /* from the stop signal until the node is killed */
--- a/src/config/proxycfg.c
+++ b/src/config/proxycfg.c
@@ -33,6 +33,8 @@
     {"log_level", TOML_ENUM, offsetof(proxycfg, log_level), false, 0, 0,
      proxycfg_log_levels},
     PROXYCFG_DURATION("stop_grace", stop_grace_ms),
+    {"first_start", TOML_BOOL, offsetof(proxycfg, first_start), false, 0, 0,
+     NULL},
 };
 
 static const toml_field proxycfg_address_fields[] = {
--- a/src/flow/local_target_private.h
+++ b/src/flow/local_target_private.h
@@ -43,7 +43,6 @@
                                 * it; empty instance: none known */
     instance_record candidate; /* the same, while it is being checked */
     bool earlier_known;        /* the store's entries were read */
-    bool announced_earlier;    /* an earlier start of the node has an entry */
     local_target_heartbeat unconfirmed; /* of a target that may have left
                                          * before; empty instance: none */
     int64_t unconfirmed_since_us;       /* its first heartbeat */
--- a/src/flow/local_target_recovery.c
+++ b/src/flow/local_target_recovery.c
@@ -187,7 +187,7 @@
 void
 local_target_recover(local_target *t, const instance_record *record)
 {
-    t->announced_earlier = true;
+    t->n->first_start = false;
     if (record->instance[0] == '\0') {
         return;
     }
--- a/src/flow/local_target_registration.c
+++ b/src/flow/local_target_registration.c
@@ -117,9 +117,6 @@
 void
 local_target_set_earlier_known(local_target *t)
 {
-    if (!t->earlier_known) {
-        t->n->first_start = !t->announced_earlier;
-    }
     t->earlier_known = true;
     local_target_confirm(t);
 }
--- a/src/flow/runtime.c
+++ b/src/flow/runtime.c
@@ -83,6 +83,7 @@
         return result;
     }
     n->started_us = clock_now_us();
+    n->first_start = settings->first_start;
     *out = n;
     return 0;
 }
@@ -184,12 +185,14 @@
 }
 
 /* Returns when the first node of the fleet started, on this node's clock;
- * RETRY_BUDGET_LONG_AGO if this node has started before. */
+ * RETRY_BUDGET_LONG_AGO if the fleet has run before, or no members are known
+ * yet.  That members are missing does not show that the fleet is new: a store
+ * that was restored may lack them. */
 static int64_t
 runtime_fleet_start_us(const runtime *n)
 {
     uint64_t first = instance_first_incarnation(n->fleet);
-    if (!n->first_start) {
+    if (!n->first_start || !n->view.listed) {
         return RETRY_BUDGET_LONG_AGO;
     }
     if (first == 0 || first >= n->self.incarnation) {
--- a/tests/integration/harness.c
+++ b/tests/integration/harness.c
@@ -56,7 +56,8 @@
     FILE *file = fopen(path, "w");
     fprintf(
         file,
-        "[node]\nname = \"node%d\"\nzone = \"z%d\"\nstop_grace = \"%dms\"\n"
+        "[node]\nname = \"node%d\"\nzone = \"z%d\"\nfirst_start = %s\n"
+        "stop_grace = \"%dms\"\n"
         "[addresses]\ncallers = \"127.0.0.1:%d\"\n"
         "peers = \"127.0.0.1:%d\"\npeers_advertised = "
         "\"127.0.0.1:%d\"\ncontrol = \"127.0.0.1:%d\"\n"
@@ -65,7 +66,7 @@
         "[target]\nservice = \"%s\"\naddress = \"127.0.0.1:%d\"\n"
         "heartbeat = \"1s\"\ndrain = \"%dms\"\n"
         "[retries]\nratio = 0.5\nslack = 100\n",
-        node, node % 2,
+        node, node % 2, k->started ? "false" : "true",
         harness_opts.grace_ms > 0 ? harness_opts.grace_ms : HARNESS_GRACE_MS,
         k->ports[HARNESS_CALLERS], k->ports[HARNESS_PEERS],
         k->ports[k->peers_proxy != NULL ? HARNESS_PEERS_PROXY : HARNESS_PEERS],
@@ -109,6 +110,8 @@
     char *argv[] = {PFR_PROGRAM, NULL};
     snprintf(path, sizeof(path), "%s/node%d.toml", harness_dir, node);
     snprintf(log, sizeof(log), "%s/node%d.log", harness_dir, node);
+    harness_write_settings(node);
+    harness_nodes[node].started = true;
     setenv("LAVENDERFIELD_BOOT", path, 1);
     if (harness_opts.clock != NULL) {
         harness_clock_path(path, sizeof(path), node);
@@ -167,7 +170,7 @@
             k->store_proxy = fault_proxy_start(k->ports[HARNESS_STORE_PROXY],
                                                harness_store_port);
         }
-        harness_write_settings(i);
+        k->started = false;
         harness_start_node(i);
     }
 }
--- a/tests/integration/harness_private.h
+++ b/tests/integration/harness_private.h
@@ -39,6 +39,7 @@
 
 typedef struct harness_node {
     pid_t pid;
+    bool started; /* before, which its settings tell it */
     int ports[HARNESS_PORTS];
     int target_fd;
     char service[32];
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -53,23 +53,30 @@
     return runs;
 }
 
-/* Start the deployment with options. */
-void
-mesh_start_with(const harness_options *opts)
+/* Wait until all nodes are ready and node 0 has discovered the others, which
+ * shows once a request was executed at each. */
+static void
+mesh_wait_ready(void)
 {
-    harness_start_with(MESH_NODES, services, opts);
-    harness_publish_desired(1, ROUTES);
     for (int i = 0; i < MESH_NODES; i++) {
         cr_assert(harness_wait_ready(i));
         cr_assert(
             HARNESS_WAIT_FOR(harness_send_heartbeat(i, "ready", 0) == 200));
     }
-    /* Node 0 has discovered the others once a request was executed at each. */
     for (int i = 1; i < MESH_NODES; i++) {
         cr_assert(mesh_reach_target(i, "start"), "node %d", i);
     }
 }
 
+/* Start the deployment with options. */
+void
+mesh_start_with(const harness_options *opts)
+{
+    harness_start_with(MESH_NODES, services, opts);
+    harness_publish_desired(1, ROUTES);
+    mesh_wait_ready();
+}
+
 /* Start the deployment and wait until node 0 has discovered the others. */
 void
 mesh_start(void)
@@ -86,6 +93,19 @@
     mesh_start_with(&proxied);
 }
 
+/* Start the deployment; the store's copy is from before the nodes wrote their
+ * entries. */
+void
+mesh_start_with_early_copy(const harness_options *opts)
+{
+    harness_start_with(MESH_NODES, services, opts);
+    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
+    harness_publish_desired(1, ROUTES);
+    harness_store_copy();
+    harness_set_store_mode(HARNESS_STORE_UP);
+    mesh_wait_ready();
+}
+
 /* Kill a node's process and start a new one with the same settings. */
 void
 mesh_restart_node(int node)
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -27,6 +27,7 @@
 void mesh_start(void);
 void mesh_start_with(const harness_options *opts);
 void mesh_start_proxied(void);
+void mesh_start_with_early_copy(const harness_options *opts);
 bool mesh_reach_target(int node, const char *name);
 int mesh_count_runs_of_node1(const char *prefix);
 void mesh_restart_node(int node);
--- a/tests/integration/restore_entries_test.c
+++ b/tests/integration/restore_entries_test.c
@@ -16,26 +16,6 @@
 
 static const char *const services[] = {"near", "far", "far"};
 
-/* Start the deployment with a copy from before the nodes wrote their
- * entries. */
-static void
-start_with_early_copy(const harness_options *opts)
-{
-    harness_start_with(MESH_NODES, services, opts);
-    harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
-    harness_publish_desired(1, ROUTES);
-    harness_store_copy();
-    harness_set_store_mode(HARNESS_STORE_UP);
-    for (int i = 0; i < MESH_NODES; i++) {
-        cr_assert(harness_wait_ready(i));
-        cr_assert(
-            HARNESS_WAIT_FOR(harness_send_heartbeat(i, "ready", 0) == 200));
-    }
-    for (int i = 1; i < MESH_NODES; i++) {
-        cr_assert(mesh_reach_target(i, "start"), "node %d", i);
-    }
-}
-
 /* Take the store away and bring it back from its copy. */
 static void
 restore_store(bool away)
@@ -84,7 +64,7 @@
     static const bool away_cases[] = {true, false};
     for (size_t i = 0; i < COUNT(away_cases); i++) {
         harness_options defaults = {0};
-        start_with_early_copy(&defaults);
+        mesh_start_with_early_copy(&defaults);
         restore_store(away_cases[i]);
         int failed = count_failed_calls("lacks");
         cr_expect_eq(failed, 0, "away %d: %d", away_cases[i], failed);
@@ -246,7 +226,7 @@
     harness_options proxied = {.proxied = true};
     for (size_t i = 0; i < COUNT(late_writer_cases); i++) {
         const late_writer_case *c = &late_writer_cases[i];
-        start_with_early_copy(&proxied);
+        mesh_start_with_early_copy(&proxied);
         fault_proxy_set_mode(harness_get_store_proxy(1),
                              FAULT_PROXY_BLACKHOLE);
         harness_store_restore();
