fault_proxy: a reset is done when the call returns

Cause: fault_proxy_reset_connections() only asked the proxy's thread for it. The test resets the connections to two nodes one after the other; at times the first node's proxy did it last, and with it reset the connection on which the request was repeated after the second node's reset. Shown by the log of a run that failed: the first attempt's reply was lost after 70.3 ms, as in runs that pass, and the second one's, to the other node, 4.8 ms later. The node did what it should: a request that may go to two targets had been to two.

The call waits until the proxy has done it. No check changed.

--- a/tests/integration/fault_proxy.c
+++ b/tests/integration/fault_proxy.c
@@ -17,6 +17,8 @@
 
 #include "lav/clock.h"
 
+#define FAULT_PROXY_RESET_POLL_US 100 /* until a reset is done */
+
 #define FAULT_PROXY_REPLY_DELAY_US 150000
 #define FAULT_PROXY_BUFFER_SIZE 65536
 #define FAULT_PROXY_PAIRS_MAX 2048
@@ -53,7 +55,7 @@
     atomic_int mode;
     atomic_bool stopped;
     atomic_int resets;
-    int resets_done;
+    atomic_int resets_done;
     pthread_t thread;
     size_t count;
     fault_proxy_pair *pairs[FAULT_PROXY_PAIRS_MAX];
@@ -297,9 +299,9 @@
         abort();
     }
     int resets = atomic_load(&p->resets);
-    if (resets != p->resets_done) {
-        p->resets_done = resets;
+    if (resets != atomic_load(&p->resets_done)) {
         fault_proxy_close_all(p, true);
+        atomic_store(&p->resets_done, resets);
     }
     if (atomic_load(&p->mode) == FAULT_PROXY_CLOSE) {
         fault_proxy_close_all(p, false);
@@ -393,13 +395,16 @@
     fault_proxy_wake(p);
 }
 
-/* Reset both ends of all connections that are open now; new ones are
- * accepted. */
+/* Reset both ends of all connections that are open now, and return once that is
+ * done; new ones are accepted. */
 void
 fault_proxy_reset_connections(fault_proxy *p)
 {
-    atomic_fetch_add(&p->resets, 1);
+    int reset = atomic_fetch_add(&p->resets, 1) + 1;
     fault_proxy_wake(p);
+    while (atomic_load(&p->resets_done) < reset) {
+        usleep(FAULT_PROXY_RESET_POLL_US);
+    }
 }
 
 /* Stop the thread, close all connections and release the proxy; NULL is
