tests: one way to remove a node and to bring it back

The steps that stop a node after its target and start both anew stood in three tests; mesh_remove_node() and mesh_return_node() have them now.

--- a/src/flow/runtime.h
+++ b/src/flow/runtime.h
@@ -95,13 +95,13 @@
     uint32_t service_hash; /* of the name of the local target's service */
     int self_member;       /* in the fleet, or INSTANCE_NONE */
     int64_t started_us;
-    bool first_start;             /* of the whole fleet */
-    GHashTable *retry_budgets;    /* service -> retry_budget_window */
-    GHashTable *peer_requests;    /* nonce -> peer_server_request */
-    struct local_target *local;   /* the target of this node */
-    struct prober *prober;        /* probes unreachable nodes */
-    struct usage_gate *usage;     /* usage caps of workspaces */
-    workspace_counts *ended;      /* requests by workspace; NULL: none yet */
+    bool first_start;           /* the whole fleet starts for the first time */
+    GHashTable *retry_budgets;  /* service -> retry_budget_window */
+    GHashTable *peer_requests;  /* nonce -> peer_server_request */
+    struct local_target *local; /* the target of this node */
+    struct prober *prober;      /* probes unreachable nodes */
+    struct usage_gate *usage;   /* usage caps of workspaces */
+    workspace_counts *ended;    /* requests by workspace; NULL: none yet */
     struct news_sync *news_sync;  /* asks readers of the store */
     bool state_fetch_pending;     /* a peer's state is being fetched */
     int64_t last_peer_contact_us; /* when a peer last reported its version */
--- a/tests/integration/mesh.c
+++ b/tests/integration/mesh.c
@@ -115,6 +115,28 @@
     harness_start_node(node);
 }
 
+/* Stop a node after its target, so that nothing is left of them. */
+void
+mesh_remove_node(int node)
+{
+    char name[32];
+    snprintf(name, sizeof(name), "node%d", node);
+    cr_assert_eq(harness_deregister_target(node), 200);
+    harness_set_target_refusing(node, true);
+    harness_signal_node(node, SIGTERM);
+    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", name)));
+    cr_assert_eq(harness_wait_node_exit(node), 0);
+}
+
+/* Start a node that was removed, and a target beside it, anew. */
+void
+mesh_return_node(int node, const char *instance)
+{
+    harness_set_target_refusing(node, false);
+    harness_replace_instance(node, instance);
+    harness_start_node(node);
+}
+
 /* Add a node that is not one of ours: `serve` serves its peers' address, and
  * its entry names an instance of `service`.  Returns the listening
  * descriptor. */
--- a/tests/integration/mesh.h
+++ b/tests/integration/mesh.h
@@ -31,6 +31,8 @@
 bool mesh_reach_target(int node, const char *name);
 int mesh_count_runs_of_node1(const char *prefix);
 void mesh_restart_node(int node);
+void mesh_remove_node(int node);
+void mesh_return_node(int node, const char *instance);
 void mesh_restart_all(void);
 int mesh_add_node(const char *service, harness_serve_cb serve);
 int mesh_add_routed_node(const char *service, const char *prefix,
--- a/tests/integration/mesh_late_heartbeat_test.c
+++ b/tests/integration/mesh_late_heartbeat_test.c
@@ -120,26 +120,6 @@
     {"no entry, heartbeat first", true, true},
 };
 
-/* Stops node 1 after its target, so that nothing is left of them. */
-static void
-remove_node_and_target(void)
-{
-    cr_assert_eq(harness_deregister_target(1), 200);
-    harness_set_target_refusing(1, true);
-    harness_signal_node(1, SIGTERM);
-    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
-    cr_assert_eq(harness_wait_node_exit(1), 0);
-}
-
-/* Starts node 1 and its target anew. */
-static void
-start_node_and_target(const char *instance)
-{
-    harness_set_target_refusing(1, false);
-    harness_replace_instance(1, instance);
-    harness_start_node(1);
-}
-
 /* The target registers and leaves while the store is away, so that the entry
  * names another one or is missing. */
 Test(mesh_departed, a_target_that_no_entry_names)
@@ -151,9 +131,9 @@
         snprintf(instance, sizeof(instance), "i-unnamed-%zu", i);
         harness_set_target_health(1, 0, "");
         if (c->first_start) {
-            remove_node_and_target();
+            mesh_remove_node(1);
             harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
-            start_node_and_target(instance);
+            mesh_return_node(1, instance);
         }
         else {
             harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
@@ -203,9 +183,9 @@
         char instance[32];
         snprintf(instance, sizeof(instance), "i-copied-%zu", i);
         harness_set_target_health(1, 0, "");
-        remove_node_and_target();
+        mesh_remove_node(1);
         harness_store_copy();
-        start_node_and_target(instance);
+        mesh_return_node(1, instance);
         cr_assert(
             HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
         cr_assert(HARNESS_WAIT_FOR(
--- a/tests/integration/mesh_recovery_test.c
+++ b/tests/integration/mesh_recovery_test.c
@@ -84,15 +84,9 @@
 static void
 start_first_before_the_store(void)
 {
-    cr_assert_eq(harness_deregister_target(1), 200);
-    harness_set_target_refusing(1, true);
-    harness_signal_node(1, SIGTERM);
-    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", "node1")));
-    cr_assert_eq(harness_wait_node_exit(1), 0);
+    mesh_remove_node(1);
     harness_set_store_mode(HARNESS_STORE_UNAVAILABLE);
-    harness_set_target_refusing(1, false);
-    harness_replace_instance(1, "i-first");
-    harness_start_node(1);
+    mesh_return_node(1, "i-first");
     cr_assert(HARNESS_WAIT_FOR(harness_send_heartbeat(1, "ready", 0) == 200));
     harness_sleep_ms(AWAY_MS);
     harness_set_store_mode(HARNESS_STORE_UP);
--- a/tests/integration/mesh_usage_test.c
+++ b/tests/integration/mesh_usage_test.c
@@ -243,26 +243,12 @@
                   largest_window());
 }
 
-/* Stops a node and its target, so that nothing is left of them. */
+/* Starts a node that was removed, and a target beside it, and waits for
+ * them. */
 static void
-remove_node(int node)
+return_node(int node, const char *instance)
 {
-    char name[32];
-    snprintf(name, sizeof(name), "node%d", node);
-    cr_assert_eq(harness_deregister_target(node), 200);
-    harness_set_target_refusing(node, true);
-    harness_signal_node(node, SIGTERM);
-    cr_assert(HARNESS_WAIT_FOR(!harness_store_contains("lavnodes", name)));
-    cr_assert_eq(harness_wait_node_exit(node), 0);
-}
-
-/* Starts a node and its target anew. */
-static void
-add_node(int node, const char *instance)
-{
-    harness_set_target_refusing(node, false);
-    harness_replace_instance(node, instance);
-    harness_start_node(node);
+    mesh_return_node(node, instance);
     cr_assert(harness_wait_ready(node));
     cr_assert(
         HARNESS_WAIT_FOR(harness_send_heartbeat(node, "ready", 0) == 200));
@@ -286,11 +272,11 @@
 Test(mesh_usage, a_restored_store_lacks_the_other_nodes)
 {
     harness_publish_workspaces(3, ROUTES, FAST_WORKSPACES);
-    remove_node(1);
-    remove_node(2);
+    mesh_remove_node(1);
+    mesh_remove_node(2);
     harness_store_copy();
-    add_node(1, "i-later-1");
-    add_node(2, "i-later-2");
+    return_node(1, "i-later-1");
+    return_node(2, "i-later-2");
     harness_sleep_ms(NEWS_MS);
     call_nodes_for(SETTLE_MS);
     begun = 0;
