tests: comments of the usage test say what it does

The comment of call_nodes_for() described another order of calls than it plays, and nothing said why the workspace is another one. No change of code.

--- a/tests/integration/mesh_usage_test.c
+++ b/tests/integration/mesh_usage_test.c
@@ -20,6 +20,7 @@
 #define WORKSPACES                                                            \
     "[{\"name\":\"alpha\",\"api_keys\":[\"key-a\"],\"rate_per_s\":40,"        \
     "\"burst\":40},{\"name\":\"beta\",\"api_keys\":[\"key-b\"]}]"
+/* A workspace whose requests node 1 grants, or node 0 where it is alone. */
 #define FAST_RATE 100
 #define FAST_BURST 5
 #define FAST_BOUND ((FAST_RATE * 5 + FAST_BURST) * 1.1 + 20)
@@ -254,8 +255,7 @@
         HARNESS_WAIT_FOR(harness_send_heartbeat(node, "ready", 0) == 200));
 }
 
-/* Calls all nodes in turn for some time, every other time node 0, each for a
- * service beside it. */
+/* Calls all nodes in turn for some time, each for a service beside it. */
 static void
 call_nodes_for(int ms)
 {
