--- a/review/rig-3/budget_hup.c
+++ b/review/rig-3/budget_hup.c
@@ -39,7 +39,8 @@
         snprintf(id, sizeof(id), "call-%d", n);
         sent_ms[n] = rig3_now_ms();
         int status = rig3_call(0, "GET", "/i/work-20", id, 5000, -1, "");
-        (void)status;
+        rig3_note("%s, sent at %.3f s, gets %d", id, (double)sent_ms[n] / 1000,
+                  status);
         rig3_sleep_ms(200);
     }
     return NULL;
