--- a/review/rig-3/rig3.c
+++ b/review/rig-3/rig3.c
@@ -19,6 +19,7 @@
 
 #define RIG3_HEARTBEAT_MS 1000
 #define RIG3_WAITING_MAX 72
+#define RIG3_PARTS 20       /* of an answer that is sent over some time */
 #define RIG3_DEADLINE_S 110 /* the whole case */
 
 rig3_instance rig3_instances[HARNESS_NODES_MAX];
@@ -301,7 +302,8 @@
 
 /* Send an answer of some bytes; false if the connection ended. */
 static bool
-rig3_answer_long(int fd, const char *id, const char *headers, long size)
+rig3_answer_long(int fd, const char *id, const char *headers, long size,
+                 int over_ms)
 {
     static const char block[65536];
     char head[2048];
@@ -311,15 +313,16 @@
     if (send(fd, head, (size_t)length, MSG_NOSIGNAL) != length) {
         return false;
     }
+    long part_max = over_ms > 0 ? size / RIG3_PARTS + 1 : (long)sizeof(block);
     for (long left = size; left > 0;) {
-        size_t part =
-            left < (long)sizeof(block) ? (size_t)left : sizeof(block);
+        size_t part = (size_t)(left < part_max ? left : part_max);
         ssize_t sent = send(fd, block, part, MSG_NOSIGNAL);
         if (sent <= 0) {
             rig3_note("%s: the instance can't send %ld bytes", id, left);
             return false;
         }
         left -= sent;
+        rig3_sleep_ms(over_ms / RIG3_PARTS);
     }
     pthread_mutex_lock(&rig3_lock);
     rig3_find(id)->whole++;
@@ -399,11 +402,13 @@
                  "Lavenderfield-Response-Seal: seal-of-%s\r\n%s",
                  id, id, x->extra);
         const char *size = strstr(path, "size-");
+        const char *over = strstr(path, "over-");
         if (size == NULL) {
             harness_write_response(fd, 200, answer, "done", 4);
         }
-        else if (!rig3_answer_long(fd, id, answer,
-                                   atol(size + strlen("size-")))) {
+        else if (!rig3_answer_long(
+                     fd, id, answer, atol(size + strlen("size-")),
+                     over == NULL ? 0 : atoi(over + strlen("over-")))) {
             return;
         }
     }
--- a/review/rig-3/rig3.h
+++ b/review/rig-3/rig3.h
@@ -8,7 +8,7 @@
  * once; a few more wait, others are refused with Lavenderfield-Not-Executed.
  * It drops a request when its connection closes.  The last word of the path
  * says how long a request works, in ms: /i/work-800.  /i/size-3000/work-800 is
- * answered with 3000 bytes.
+ * answered with 3000 bytes; with over-2000 before work these take 2 s.
  */
 #ifndef RIG3_H
 #define RIG3_H
